--- /dev/null
+++ b/crates/base/src/derive.rs
@@ -0,0 +1,72 @@
+//! Macros that give the common sets of derives.
+
+/// Derives the set for small `Copy` values: comparison, hashing and serialization.
+#[macro_export]
+macro_rules! value {
+    ($($item:item)*) => {
+        $(
+            #[derive(
+                Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash,
+                ::serde::Serialize, ::serde::Deserialize,
+            )]
+            $item
+        )*
+    };
+}
+
+/// Derives the set for owned records: comparison and serialization.
+#[macro_export]
+macro_rules! record {
+    ($($item:item)*) => {
+        $(
+            #[derive(Clone, Debug, PartialEq, ::serde::Serialize, ::serde::Deserialize)]
+            $item
+        )*
+    };
+}
+
+/// Declares a fieldless enum whose variants have fixed names and dense indices.
+///
+/// The names are those that chart files use.
+#[macro_export]
+macro_rules! symbols {
+    ($(#[$meta:meta])* $vis:vis enum $name:ident {
+        $($(#[$item:meta])* $variant:ident = $text:literal),+ $(,)?
+    }) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash,
+            ::serde::Serialize, ::serde::Deserialize,
+        )]
+        $vis enum $name { $($(#[$item])* #[serde(rename = $text)] $variant),+ }
+
+        impl $crate::derive::Symbol for $name {
+            const ALL: &'static [Self] = &[$(Self::$variant),+];
+
+            fn name(self) -> &'static str {
+                match self { $(Self::$variant => $text),+ }
+            }
+
+            fn index(self) -> usize {
+                self as usize
+            }
+        }
+    };
+}
+
+/// A fieldless enum with a name and a dense index for each variant.
+pub trait Symbol: Copy + Eq + 'static {
+    /// Every variant in order of index.
+    const ALL: &'static [Self];
+
+    /// Returns the name used in chart files and in dumps.
+    fn name(self) -> &'static str;
+
+    /// Returns the position in [`Symbol::ALL`].
+    fn index(self) -> usize;
+
+    /// Finds the variant with the given name.
+    fn parse(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|symbol| symbol.name() == name)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,86 @@
+//! The operators' command-line tool.
+
+mod client;
+mod print;
+
+use std::io::IsTerminal;
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser};
+use clap_complete::Shell;
+
+use client::{Answer, Client, Fault};
+
+/// Exit code for a statement that does not parse or fit.
+const REFUSED: u8 = 2;
+/// Exit code for a change whose outcome is not known.
+const UNKNOWN: u8 = 3;
+/// Exit code for an entry that cannot be reached.
+const UNREACHABLE: u8 = 4;
+
+/// Asks a deployment what is serving where, and orders changes.
+#[derive(Debug, Parser)]
+#[command(name = "nutmegwharf", version, after_help = lang::help::SUMMARY)]
+struct Arguments {
+    /// An entry's address for operators.
+    #[arg(long, env = "NUTMEGWHARF_ENTRY", default_value = "127.0.0.1:7101")]
+    entry: std::net::SocketAddr,
+    /// The operator's token.
+    #[arg(long, env = "NUTMEGWHARF_TOKEN", default_value = "", hide_env_values = true)]
+    token: String,
+    /// Prints JSON for programs.
+    #[arg(long)]
+    json: bool,
+    /// Tells whether a command would be accepted, and changes nothing.
+    #[arg(long)]
+    dry_run: bool,
+    /// Waits until an accepted change is in force at every live entry.
+    #[arg(long)]
+    wait: bool,
+    /// Prints a completion script for a shell and exits.
+    #[arg(long, value_name = "SHELL")]
+    completion: Option<Shell>,
+    /// The statement; its words are joined by blanks.
+    statement: Vec<String>,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if let Some(shell) = arguments.completion {
+        clap_complete::generate(
+            shell,
+            &mut Arguments::command(),
+            "nutmegwharf",
+            &mut std::io::stdout(),
+        );
+        return ExitCode::SUCCESS;
+    }
+    match run(&arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(code(&fault))
+        }
+    }
+}
+
+async fn run(arguments: &Arguments) -> Result<(), Fault> {
+    let text = arguments.statement.join(" ");
+    lang::parse(&text).map_err(Fault::Syntax)?;
+    let client = Client { entry: arguments.entry, token: arguments.token.clone() };
+    let answer = client.statement(&text, arguments.dry_run).await?;
+    print::answer(&answer, arguments.json, std::io::stdout().is_terminal());
+    if let (true, Answer::Accepted { number, .. }) = (arguments.wait, &answer) {
+        client.wait(*number).await?;
+    }
+    Ok(())
+}
+
+fn code(fault: &Fault) -> u8 {
+    match fault {
+        Fault::Syntax(_) | Fault::Refused { .. } => REFUSED,
+        Fault::Unknown { .. } | Fault::NotInForce { .. } => UNKNOWN,
+        Fault::Unreachable(_) | Fault::Answer => UNREACHABLE,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/admin/listing.rs
@@ -0,0 +1,260 @@
+//! Answers to queries, as tables.
+
+use base::derive::Symbol;
+use derive_more::{Display, Error};
+use model::Config;
+use model::object::Kind;
+use model::query::{Listing, Query};
+use serde::Serialize;
+
+use crate::steer::State;
+
+/// A table for operators.
+#[derive(Debug, Serialize)]
+pub struct Table {
+    columns: Vec<&'static str>,
+    rows: Vec<Vec<String>>,
+}
+
+/// A query about something that does not exist.
+#[derive(Debug, Display, Error)]
+#[display("there is no {} '{name}'", kind.name())]
+pub struct Missing {
+    kind: Kind,
+    name: String,
+}
+
+/// Answers a query.
+///
+/// # Errors
+///
+/// Returns an error if the query names something that does not exist.
+pub fn answer(query: &Query, config: &Config, state: &State) -> Result<Table, Missing> {
+    match query {
+        Query::Show { listing, service, domain } => {
+            let filter = Filter { service: service.as_deref(), domain: domain.as_deref() };
+            filter.check(config)?;
+            Ok(show(*listing, &filter, config, state))
+        }
+        Query::WhyUpstream { name } => why_upstream(name, config, state),
+        Query::WhyMove { name } => why_move(name, config),
+    }
+}
+
+/// What a listing is limited to.
+struct Filter<'a> {
+    service: Option<&'a str>,
+    domain: Option<&'a str>,
+}
+
+impl Filter<'_> {
+    fn check(&self, config: &Config) -> Result<(), Missing> {
+        let missing = |kind, name: &str| Missing { kind, name: name.into() };
+        if let Some(name) = self.service.filter(|name| !config.services.contains_key(*name)) {
+            return Err(missing(Kind::Service, name));
+        }
+        if let Some(name) = self.domain.filter(|name| !config.domains.contains_key(*name)) {
+            return Err(missing(Kind::Domain, name));
+        }
+        Ok(())
+    }
+
+    fn fits(&self, service: &str) -> bool {
+        self.service.is_none_or(|wanted| wanted == service)
+    }
+
+    fn fits_domain(&self, domain: &str) -> bool {
+        self.domain.is_none_or(|wanted| wanted == domain)
+    }
+}
+
+fn show(listing: Listing, filter: &Filter<'_>, config: &Config, state: &State) -> Table {
+    match listing {
+        Listing::Services => services(filter, config, state),
+        Listing::Domains => domains(filter, config),
+        Listing::Workspaces => workspaces(config),
+        Listing::Versions => versions(filter, config),
+        Listing::Upstreams => upstreams(filter, config, state),
+        Listing::Routes => routes(filter, config),
+        Listing::Moves => moves(filter, config),
+        Listing::History => history(config),
+        Listing::Entries => entries(filter, state),
+    }
+}
+
+fn table(columns: &[&'static str], rows: impl Iterator<Item = Vec<String>>) -> Table {
+    Table { columns: columns.to_vec(), rows: rows.collect() }
+}
+
+fn services(filter: &Filter<'_>, config: &Config, state: &State) -> Table {
+    let rows = config.services.iter().filter(|(name, _)| filter.fits(name));
+    let rows = rows.map(|(name, service)| {
+        let waiting = state.engine.waiting.get(name).copied().unwrap_or(0);
+        vec![
+            name.clone(),
+            service.serving.clone().unwrap_or_default(),
+            service.slots.to_string(),
+            service.cold.to_string(),
+            service.timeout_ms.to_string(),
+            waiting.to_string(),
+        ]
+    });
+    table(&["service", "serving", "slots", "cold", "timeout_ms", "waiting"], rows)
+}
+
+fn domains(filter: &Filter<'_>, config: &Config) -> Table {
+    let rows = config.domains.iter().filter(|(name, _)| filter.fits_domain(name));
+    let rows = rows.map(|(name, domain)| {
+        let upstreams = config.upstreams.values().filter(|one| one.domain == *name).count();
+        let until = domain.until_ms.map(|until| until.to_string()).unwrap_or_default();
+        let standing = if domain.out { "out" } else { "in" };
+        vec![name.clone(), standing.into(), until, upstreams.to_string(), domain.rev.to_string()]
+    });
+    table(&["domain", "standing", "until_ms", "upstreams", "change"], rows)
+}
+
+fn workspaces(config: &Config) -> Table {
+    let rows = config.workspaces.iter().map(|(name, workspace)| {
+        vec![name.clone(), workspace.weight.to_string(), workspace.limit.to_string()]
+    });
+    table(&["workspace", "weight", "limit"], rows)
+}
+
+fn versions(filter: &Filter<'_>, config: &Config) -> Table {
+    let rows = config.versions.iter().filter(|(_, version)| filter.fits(&version.service));
+    let rows = rows.map(|(path, version)| {
+        let name = path.rsplit('/').next().unwrap_or(path);
+        let serving = config.services.get(&version.service).and_then(|one| one.serving.as_deref());
+        let of_version =
+            |one: &&model::object::Upstream| one.service == version.service && one.version == name;
+        let upstreams = config.upstreams.values().filter(of_version).count();
+        vec![
+            name.into(),
+            version.service.clone(),
+            version.standing.name().into(),
+            if serving == Some(name) { "yes" } else { "no" }.into(),
+            upstreams.to_string(),
+        ]
+    });
+    table(&["version", "service", "standing", "serving", "upstreams"], rows)
+}
+
+fn upstreams(filter: &Filter<'_>, config: &Config, state: &State) -> Table {
+    let fits = |one: &model::object::Upstream| {
+        filter.fits(&one.service) && filter.fits_domain(&one.domain)
+    };
+    let rows = config.upstreams.iter().filter(|(_, one)| fits(one));
+    let rows = rows.map(|(name, upstream)| {
+        let known = state.engine.upstreams.get(name);
+        vec![
+            name.clone(),
+            upstream.service.clone(),
+            upstream.version.clone(),
+            upstream.domain.clone(),
+            upstream.address.to_string(),
+            known.map(|one| one.state.name()).unwrap_or_default().into(),
+            known.map(|one| one.own.to_string()).unwrap_or_default(),
+            known.map(|one| format!("{:.1}", one.load)).unwrap_or_default(),
+            known.map(|one| format!("{:.1}", one.service_us / 1_000.0)).unwrap_or_default(),
+        ]
+    });
+    let columns = [
+        "upstream",
+        "service",
+        "version",
+        "domain",
+        "address",
+        "state",
+        "own",
+        "load",
+        "service_ms",
+    ];
+    table(&columns, rows)
+}
+
+fn routes(filter: &Filter<'_>, config: &Config) -> Table {
+    let rows = config.routes.values().filter(|route| filter.fits(&route.service));
+    let rows = rows.map(|route| {
+        let kind = if route.idempotent { "idempotent" } else { "once" };
+        let method = route.method.clone().unwrap_or_else(|| "any".into());
+        vec![route.service.clone(), method, route.prefix.clone(), kind.into()]
+    });
+    table(&["service", "method", "prefix", "requests"], rows)
+}
+
+fn moves(filter: &Filter<'_>, config: &Config) -> Table {
+    let rows = config.moves.iter().filter(|(_, plan)| filter.fits(&plan.service));
+    let rows = rows.map(|(name, plan)| {
+        vec![
+            name.clone(),
+            plan.service.clone(),
+            plan.from.clone(),
+            plan.to.clone(),
+            plan.deadline_ms.to_string(),
+            plan.phase.name().into(),
+            plan.reason.clone(),
+        ]
+    });
+    table(&["move", "service", "from", "to", "deadline_ms", "phase", "reason"], rows)
+}
+
+fn history(config: &Config) -> Table {
+    let rows = config.history.iter().rev().map(|change| {
+        vec![
+            change.number.to_string(),
+            change.when_ms.to_string(),
+            change.who.clone(),
+            change.text.clone(),
+            change.write.to_string(),
+        ]
+    });
+    table(&["change", "when_ms", "who", "command", "write"], rows)
+}
+
+fn entries(filter: &Filter<'_>, state: &State) -> Table {
+    let roster = state.engine.roster.iter().flat_map(|roster| roster.members.values());
+    let rows = roster.filter(|member| filter.fits_domain(&member.domain)).map(|member| {
+        vec![
+            member.name.clone(),
+            member.domain.clone(),
+            member.caller.to_string(),
+            member.peer.to_string(),
+        ]
+    });
+    table(&["entry", "domain", "callers", "peers"], rows)
+}
+
+fn why_upstream(name: &str, config: &Config, state: &State) -> Result<Table, Missing> {
+    let missing = || Missing { kind: Kind::Upstream, name: name.into() };
+    let upstream = config.upstreams.get(name).ok_or_else(missing)?;
+    let known = state.engine.upstreams.get(name).ok_or_else(missing)?;
+    let mut facts = vec![
+        ("state", known.state.name().to_owned()),
+        ("calls of this entry", known.own.to_string()),
+        ("calls estimated there", format!("{:.1}", known.load)),
+        ("owned by this entry", known.owner.to_string()),
+    ];
+    if state.engine.out.contains(&upstream.domain) {
+        facts.push(("gets nothing because", format!("domain {} is out", upstream.domain)));
+    }
+    let service = config.services.get(&upstream.service);
+    if service.is_some_and(|service| service.serving.as_ref() != Some(&upstream.version)) {
+        facts.push(("gets little because", "its version does not serve".to_owned()));
+    }
+    if let Some(allotment) = &known.allotment {
+        facts.push(("calls granted at a time", allotment.limit.to_string()));
+        facts.push(("grants that are out", allotment.out.len().to_string()));
+    }
+    Ok(table(&["fact", "value"], facts.into_iter().map(|(fact, value)| vec![fact.into(), value])))
+}
+
+fn why_move(name: &str, config: &Config) -> Result<Table, Missing> {
+    let missing = || Missing { kind: Kind::Move, name: name.into() };
+    let plan = config.moves.get(name).ok_or_else(missing)?;
+    let facts = [
+        ("phase", plan.phase.name().to_owned()),
+        ("reason", plan.reason.clone()),
+        ("deadline_ms", plan.deadline_ms.to_string()),
+    ];
+    Ok(table(&["fact", "value"], facts.into_iter().map(|(fact, value)| vec![fact.into(), value])))
+}
--- /dev/null
+++ b/crates/entry/src/admin/meter.rs
@@ -0,0 +1,62 @@
+//! Metrics for a scraper.
+
+use std::sync::Arc;
+
+use base::derive::Symbol;
+use metrics::{counter, gauge, with_local_recorder};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusRecorder};
+use policy::upstream;
+
+use crate::steer::State;
+
+/// Metrics of one entry, taken from its state when they are read.
+///
+/// The request path touches no metric; it counts in its own state.
+#[derive(Clone)]
+pub struct Meter {
+    recorder: Arc<PrometheusRecorder>,
+}
+
+impl Meter {
+    /// Makes the metrics of the named entry.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        let builder = PrometheusBuilder::new().add_global_label("entry", name);
+        Self { recorder: Arc::new(builder.build_recorder()) }
+    }
+
+    /// Returns the metrics as text for a scraper.
+    #[must_use]
+    pub fn render(&self, state: &State) -> String {
+        with_local_recorder(&*self.recorder, || record(state));
+        self.recorder.handle().render()
+    }
+}
+
+fn record(state: &State) {
+    let stats = &state.engine.stats;
+    counter!("nutmegwharf_requests_total").absolute(stats.requests);
+    counter!("nutmegwharf_attempts_total").absolute(stats.attempts);
+    counter!("nutmegwharf_retries_total").absolute(stats.retries);
+    counter!("nutmegwharf_over_budget_total").absolute(stats.over_budget);
+    counter!("nutmegwharf_refused_not_run_total").absolute(stats.not_run);
+    counter!("nutmegwharf_refused_unknown_total").absolute(stats.unknown);
+    counter!("nutmegwharf_complete_total").absolute(stats.complete);
+    counter!("nutmegwharf_cut_total").absolute(stats.cut);
+    counter!("nutmegwharf_shed_total").absolute(stats.shed);
+    counter!("nutmegwharf_grants_asked_total").absolute(stats.asked);
+    counter!("nutmegwharf_grants_given_total").absolute(stats.granted);
+    counter!("nutmegwharf_cold_starts_total").absolute(stats.cold_starts);
+    gauge!("nutmegwharf_config_number").set(state.engine.number as f64);
+    gauge!("nutmegwharf_open_calls").set(state.engine.calls as f64);
+    gauge!("nutmegwharf_upstream_connections").set(state.connections as f64);
+    gauge!("nutmegwharf_roster_age_seconds").set(state.engine.roster_age_ms as f64 / 1e3);
+    for one in upstream::State::ALL {
+        let upstreams = state.engine.upstreams.values();
+        let count = upstreams.filter(|upstream| upstream.state == *one).count();
+        gauge!("nutmegwharf_upstreams", "state" => one.name()).set(count as f64);
+    }
+    for (service, waiting) in &state.engine.waiting {
+        gauge!("nutmegwharf_waiting_calls", "service" => service.clone()).set(*waiting as f64);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/call.rs
@@ -0,0 +1,344 @@
+//! One request of a caller, from its head to the head of its answer.
+
+use std::pin::pin;
+use std::task::{Context, Waker};
+
+use base::hash::digest;
+use base::prelude::*;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::{HOST, UPGRADE, VIA};
+use hyper::http::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, Version};
+use policy::attempt::Event;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+use xtra::{Address, Handler};
+
+use super::accept::Front;
+use super::body::{Answer, Exchange, Outgoing, Relay, Upload};
+use super::exchange::{Head, exchange};
+use super::problem::Problem;
+use super::resolve;
+use crate::header;
+use crate::steer::{Asked, Directive, Happened, Left, Place, Placed, Steer, Target};
+
+/// Start of the paths that entries answer themselves.
+const OWN_PATHS: &str = "/.nutmegwharf/";
+/// What an entry adds to `Via`.
+const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 nutmegwharf");
+
+/// Sends a message without waiting for it to be handled.
+pub fn post<M>(steer: &Address<Steer>, message: M)
+where
+    M: Send + 'static,
+    Steer: Handler<M>,
+{
+    // The mailbox is unbounded, so the first poll puts the message into it.
+    let mut sending = pin!(steer.send(message).detach());
+    let _ = sending.as_mut().poll(&mut Context::from_waker(Waker::noop()));
+}
+
+/// A caller's body.
+enum Kept {
+    /// Read whole, so that it can be sent again.
+    Whole(Bytes),
+    /// Still with the caller.
+    Stream(Option<Upload>),
+}
+
+/// A request that waits for its answer; tells the decisions if its caller leaves.
+struct Waiting {
+    steer: Address<Steer>,
+    token: Option<u64>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if let Some(token) = self.token {
+            post(&self.steer, Left(token));
+        }
+    }
+}
+
+impl Front {
+    /// Answers one request.
+    pub async fn answer(self, request: Request<Incoming>) -> Response<Answer> {
+        let outcome = if request.uri().path().starts_with(OWN_PATHS) {
+            resolve::answer(&self, &request).await
+        } else {
+            self.forward(request).await
+        };
+        outcome.unwrap_or_else(Problem::not_run)
+    }
+
+    async fn forward(&self, request: Request<Incoming>) -> Result<Response<Answer>, Problem> {
+        let (mut head, body) = request.into_parts();
+        let mut asked = asked(&head)?;
+        let patience = asked.patience.unwrap_or(Span::seconds(10));
+        let read_by = self.clock.instant(self.clock.moment() + patience);
+        let kept = self.keep(body, read_by).await?;
+        asked.replayable = matches!(kept, Kept::Whole(_));
+        let bytes: &[u8] = if let Kept::Whole(bytes) = &kept { bytes } else { &[] };
+        asked.digest = digest(&[
+            asked.service.as_bytes(),
+            asked.method.as_bytes(),
+            asked.path.as_bytes(),
+            bytes,
+        ]);
+        clean(&mut head);
+        let (reply, directive) = oneshot::channel();
+        let placed = self.steer.send(Place { asked, reply }).await;
+        let placed = placed.map_err(|_| Problem::Gone)?.ok_or(Problem::UnknownService)?;
+        self.pursue(head, kept, placed, directive).await
+    }
+
+    /// Follows the directives of the decisions until there is an answer.
+    async fn pursue(
+        &self,
+        head: Parts,
+        mut kept: Kept,
+        placed: Placed,
+        mut directive: oneshot::Receiver<Directive>,
+    ) -> Result<Response<Answer>, Problem> {
+        let mut waiting = Waiting { steer: self.steer.clone(), token: Some(placed.token) };
+        let deadline = self.clock.instant(placed.deadline);
+        let mut passed: Option<(Response<Incoming>, String, Exchange)> = None;
+        loop {
+            match directive.await.map_err(|_| Problem::Gone)? {
+                Directive::Refuse { refusal, outcome, retry_after } => {
+                    waiting.token = None;
+                    return Ok(Problem::Refused(refusal).answer(outcome, Some(retry_after)));
+                }
+                Directive::Pass => {
+                    waiting.token = None;
+                    let (head, name, exchange) = passed.take().ok_or(Problem::Gone)?;
+                    return Ok(relay(head, &name, exchange, deadline));
+                }
+                Directive::Send(target) => {
+                    // An answer that was kept back is not wanted any more.
+                    drop(passed.take());
+                    waiting.token = None;
+                    let request = outgoing(&head, &mut kept, &target, deadline)?;
+                    let name = target.name.clone();
+                    let next = self.attempt(target, request, &mut kept, placed, deadline).await;
+                    match next {
+                        Next::Answer(head, exchange) => {
+                            return Ok(relay(head, &name, exchange, deadline));
+                        }
+                        Next::Ask(receiver, kept_back) => {
+                            directive = receiver;
+                            passed = kept_back.map(|(head, exchange)| (head, name, exchange));
+                        }
+                    }
+                    waiting.token = Some(placed.token);
+                }
+            }
+        }
+    }
+
+    /// Makes one attempt and reports what came of it.
+    async fn attempt(
+        &self,
+        target: Target,
+        request: Request<Outgoing>,
+        kept: &mut Kept,
+        placed: Placed,
+        deadline: Instant,
+    ) -> Next {
+        let Target { attempt, upstream, address, link, .. } = target;
+        let tracker = Exchange {
+            steer: self.steer.clone(),
+            token: placed.token,
+            attempt,
+            link: None,
+            keep: true,
+        };
+        let mut guard =
+            Guard { steer: self.steer.clone(), token: placed.token, attempt, live: true };
+        let work = exchange(&self.steer, tracker, upstream, address, link, request);
+        let result = timeout_at(deadline, work).await;
+        guard.live = false;
+        let (event, report, kept_back) = match result {
+            Err(_) => (Event::Late, None, None),
+            Ok(Head::Failed { event, request }) => {
+                if let Some(request) = request {
+                    kept.restore(request);
+                }
+                (event, None, None)
+            }
+            Ok(Head::Refused { report }) => (Event::Refused, report, None),
+            Ok(Head::Good { response, report, exchange }) => {
+                self.happened(placed.token, attempt, Event::Head, report, None);
+                return Next::Answer(response, exchange);
+            }
+            Ok(Head::Bad { response, report, exchange }) => {
+                (Event::HeadFailed, report, Some((response, exchange)))
+            }
+        };
+        let (reply, receiver) = oneshot::channel();
+        self.happened(placed.token, attempt, event, report, Some(reply));
+        Next::Ask(receiver, kept_back)
+    }
+
+    fn happened(
+        &self,
+        token: u64,
+        attempt: key::Attempt,
+        event: Event,
+        report: Option<policy::balance::Report>,
+        reply: Option<oneshot::Sender<Directive>>,
+    ) {
+        post(&self.steer, Happened { token, attempt, event, report, link: None, reply });
+    }
+
+    /// Reads a short body whole; a longer one stays with the caller.
+    async fn keep(&self, body: Incoming, read_by: Instant) -> Result<Kept, Problem> {
+        let size = body.size_hint();
+        if size.lower() > self.limits.body_bytes {
+            return Err(Problem::BodyTooLarge);
+        }
+        if size.upper().is_none_or(|upper| upper > self.limits.replay_bytes) {
+            return Ok(Kept::Stream(Some(Upload::new(body, self.limits.body_bytes))));
+        }
+        let bound = usize::try_from(self.limits.replay_bytes).unwrap_or(usize::MAX);
+        let read = timeout_at(read_by, Limited::new(body, bound).collect()).await;
+        match read {
+            Ok(Ok(collected)) => Ok(Kept::Whole(collected.to_bytes())),
+            _ => Err(Problem::BodyBroken),
+        }
+    }
+}
+
+/// What follows an attempt.
+enum Next {
+    /// The answer is passed on.
+    Answer(Response<Incoming>, Exchange),
+    /// The decisions have to say, perhaps with an answer kept back meanwhile.
+    Ask(oneshot::Receiver<Directive>, Option<(Response<Incoming>, Exchange)>),
+}
+
+/// Reports an attempt as left if its task is dropped in the middle.
+struct Guard {
+    steer: Address<Steer>,
+    token: u64,
+    attempt: key::Attempt,
+    live: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.live {
+            let Self { token, attempt, .. } = *self;
+            let event = Event::Left;
+            let left = Happened { token, attempt, event, report: None, link: None, reply: None };
+            post(&self.steer, left);
+        }
+    }
+}
+
+impl Kept {
+    /// Takes back the body of a request that was not sent.
+    fn restore(&mut self, request: Request<Outgoing>) {
+        if let (Self::Stream(slot), Outgoing::Stream(upload)) = (self, request.into_body()) {
+            *slot = Some(upload);
+        }
+    }
+
+    fn body(&mut self) -> Result<Outgoing, Problem> {
+        match self {
+            Self::Whole(bytes) => Ok(Outgoing::Whole(Full::new(bytes.clone()))),
+            Self::Stream(upload) => upload.take().map(Outgoing::Stream).ok_or(Problem::BodyBroken),
+        }
+    }
+}
+
+/// Reads what a request's head says to an entry.
+fn asked(head: &Parts) -> Result<Asked, Problem> {
+    if head.method == Method::CONNECT || head.headers.contains_key(UPGRADE) {
+        return Err(Problem::Unsupported);
+    }
+    let target = head.uri.path_and_query().ok_or(Problem::BadTarget)?;
+    let patience = match head.headers.get(header::TIMEOUT_MS) {
+        None => None,
+        Some(_) => {
+            let millis = header::number(&head.headers, &header::TIMEOUT_MS);
+            Some(Span::millis(millis.filter(|millis| *millis < 1 << 32).ok_or(Problem::BadHeader)?))
+        }
+    };
+    Ok(Asked {
+        service: service(head)?.to_owned(),
+        workspace: header::text(&head.headers, &header::WORKSPACE).map(str::to_owned),
+        method: head.method.as_str().to_owned(),
+        path: target.as_str().to_owned(),
+        patience,
+        replayable: false,
+        digest: 0,
+    })
+}
+
+/// Returns the service that a request names by header or by the first label of its host.
+fn service(head: &Parts) -> Result<&str, Problem> {
+    if let Some(value) = head.headers.get(header::SERVICE) {
+        return value.to_str().map_err(|_| Problem::BadHeader);
+    }
+    let host = head.uri.host().or_else(|| header::text(&head.headers, &HOST));
+    let label = host.and_then(|host| host.split(['.', ':']).next());
+    label.filter(|label| !label.is_empty()).ok_or(Problem::NoService)
+}
+
+/// Removes from a request's head what concerns the caller's connection only.
+fn clean(head: &mut Parts) {
+    header::strip_hop_by_hop(&mut head.headers);
+    if !head.headers.contains_key(HOST)
+        && let Some(authority) = head.uri.authority()
+        && let Ok(value) = HeaderValue::from_str(authority.as_str())
+    {
+        // HTTP/2 names the host in the target; HTTP/1.1 needs the header.
+        head.headers.insert(HOST, value);
+    }
+    head.headers.append(VIA, VIA_VALUE);
+}
+
+/// Makes the request for one attempt.
+fn outgoing(
+    head: &Parts,
+    kept: &mut Kept,
+    target: &Target,
+    deadline: Instant,
+) -> Result<Request<Outgoing>, Problem> {
+    let mut request = Request::new(kept.body()?);
+    *request.method_mut() = head.method.clone();
+    *request.version_mut() = Version::HTTP_11;
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    *request.uri_mut() = path.parse().map_err(|_| Problem::BadTarget)?;
+    *request.headers_mut() = head.headers.clone();
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+    let headers = request.headers_mut();
+    headers.insert(header::TIMEOUT_MS, u64::try_from(left).unwrap_or(u64::MAX).into());
+    headers.insert(header::ATTEMPT, super::exchange::attempt_value(target.attempt));
+    Ok(request)
+}
+
+/// Makes the answer that passes an upstream's answer on.
+fn relay(
+    response: Response<Incoming>,
+    upstream: &str,
+    exchange: Exchange,
+    deadline: Instant,
+) -> Response<Answer> {
+    let (mut head, body) = response.into_parts();
+    header::strip_hop_by_hop(&mut head.headers);
+    for name in [header::LOAD, header::ATTEMPT, header::NOT_RUN, header::OUTCOME] {
+        head.headers.remove(name);
+    }
+    head.headers.append(VIA, VIA_VALUE);
+    if let Ok(value) = HeaderValue::from_str(upstream) {
+        head.headers.insert(header::UPSTREAM, value);
+    }
+    head.headers.insert(header::OUTCOME, HeaderValue::from_static("ran"));
+    head.version = Version::HTTP_11;
+    let relay = Relay::new(body, exchange, deadline);
+    Response::from_parts(head, Answer::Relay(Box::new(relay)))
+}
--- /dev/null
+++ b/crates/entry/src/front/problem.rs
@@ -0,0 +1,116 @@
+//! Answers that the entry gives itself.
+
+use base::derive::Symbol;
+use base::prelude::*;
+use derive_more::{Display, Error};
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use policy::call::{Outcome, Refusal};
+use serde::Serialize;
+
+use super::body::Answer;
+use crate::header;
+
+/// Why a request gets an answer of the entry itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Problem {
+    /// The request names no service.
+    #[display("the request names no service")]
+    NoService,
+    /// The service is not known.
+    #[display("the service is not known")]
+    UnknownService,
+    /// A header of the interface has a value that cannot be read.
+    #[display("a header has a value that cannot be read")]
+    BadHeader,
+    /// The request target is not a path.
+    #[display("the request target is not a path")]
+    BadTarget,
+    /// The method or an upgrade is not supported.
+    #[display("the method or upgrade is not supported")]
+    Unsupported,
+    /// The body is too large.
+    #[display("the body is too large")]
+    BodyTooLarge,
+    /// The body broke off or came too slowly.
+    #[display("the body broke off or came too slowly")]
+    BodyBroken,
+    /// The entry cannot reach its own decisions.
+    #[display("the entry stops")]
+    Gone,
+    /// No such page of the entry itself.
+    #[display("no such page")]
+    NoPage,
+    /// A refusal of the decisions.
+    #[display("{_0}")]
+    #[serde(untagged)]
+    Refused(#[error(not(source))] Refusal),
+}
+
+/// The body of an answer that tells of a problem.
+#[derive(Debug, Serialize)]
+struct Page {
+    error: Problem,
+    message: String,
+    outcome: &'static str,
+    retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// Returns the status of the answer.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoService | Self::BadHeader | Self::BadTarget | Self::BodyBroken => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::UnknownService | Self::NoPage => StatusCode::NOT_FOUND,
+            Self::Unsupported => StatusCode::NOT_IMPLEMENTED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Gone => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(refusal) => refusal_status(refusal),
+        }
+    }
+
+    /// Makes the answer.
+    #[must_use]
+    pub fn answer(self, outcome: Outcome, retry_after: Option<Span>) -> Response<Answer> {
+        let page = Page {
+            error: self,
+            message: self.to_string(),
+            outcome: outcome.name(),
+            retry_after_ms: retry_after.map(Span::as_millis),
+        };
+        let body = serde_json::to_vec(&page).unwrap_or_default();
+        let mut response = Response::new(Answer::Local(Full::new(body.into())));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(header::OUTCOME, HeaderValue::from_static(outcome.name()));
+        if let Some(span) = retry_after {
+            headers.insert(RETRY_AFTER, span.as_millis().div_ceil(1_000).into());
+        }
+        response
+    }
+
+    /// Makes the answer to a request that certainly has not run.
+    #[must_use]
+    pub fn not_run(self) -> Response<Answer> {
+        self.answer(Outcome::NotRun, None)
+    }
+}
+
+fn refusal_status(refusal: Refusal) -> StatusCode {
+    match refusal {
+        Refusal::NoUpstream | Refusal::Overload | Refusal::Attempts | Refusal::Stopping => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Refusal::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::LateUnsent | Refusal::LateSent => StatusCode::GATEWAY_TIMEOUT,
+        Refusal::Broken => StatusCode::BAD_GATEWAY,
+        Refusal::Harmful => StatusCode::UNPROCESSABLE_ENTITY,
+        Refusal::KeyRunning | Refusal::KeyUsed | Refusal::KeyUnknown => StatusCode::CONFLICT,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,16 @@
+//! The daemon: tasks that own sockets and one decision machine, and talk by messages.
+
+pub mod admin;
+pub mod clock;
+pub mod front;
+pub mod header;
+pub mod keeper;
+pub mod logs;
+pub mod run;
+pub mod settings;
+pub mod steer;
+
+mod idle;
+
+pub use run::{Fault, Handle, start};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/logs.rs
@@ -0,0 +1,35 @@
+//! Logs as JSON lines on standard output.
+
+use derive_more::{Display, Error, From};
+use log::LevelFilter;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::config::{Appender, Config, Root, runtime::ConfigErrors};
+use log4rs::encode::json::JsonEncoder;
+
+/// Name of the only appender.
+const APPENDER: &str = "console";
+
+/// Logs that cannot be set up.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// The configuration of the library does not fit.
+    #[display("logs cannot be configured: {_0}")]
+    Config(ConfigErrors),
+    /// Something else has set up logs already.
+    #[display("logs are set up already: {_0}")]
+    Logger(log::SetLoggerError),
+}
+
+/// Starts logging at the given level.
+///
+/// # Errors
+///
+/// Returns an error if logs were set up before.
+pub fn start(level: LevelFilter) -> Result<(), Fault> {
+    let console = ConsoleAppender::builder().encoder(Box::new(JsonEncoder::new())).build();
+    let appender = Appender::builder().build(APPENDER, Box::new(console));
+    let root = Root::builder().appender(APPENDER).build(level);
+    let config = Config::builder().appender(appender).build(root)?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/model/src/catalog.rs
@@ -0,0 +1,426 @@
+//! The configuration as one node holds it: arenas with `Copy` keys in place of names.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::hash::digest;
+use base::prelude::*;
+use slotmap::{Key, SlotMap};
+
+use crate::command::path;
+use crate::config::Config;
+use crate::object::{self, Phase, Standing};
+
+record! {
+    /// A service with its references resolved.
+    pub struct Service {
+        /// Its name.
+        pub name: String,
+        /// Identity that is equal on every node.
+        pub ident: u64,
+        /// Calls that each upstream runs at a time.
+        pub slots: u32,
+        /// Calls that a cold upstream bears at a time, over all entries.
+        pub cold: u32,
+        /// Time that a call may take.
+        pub timeout: Span,
+        /// The version that gets the traffic.
+        pub serving: Option<key::Version>,
+        /// Its versions.
+        pub versions: Vec<key::Version>,
+        /// Its routes, the longest prefix first.
+        pub routes: Vec<key::Route>,
+        /// The move that has not ended.
+        pub plan: Option<key::Move>,
+    }
+
+    /// A version with its references resolved.
+    pub struct Version {
+        /// Its name within the service.
+        pub name: String,
+        /// Identity that is equal on every node.
+        pub ident: u64,
+        /// Its service.
+        pub service: key::Service,
+        /// Whether it may get traffic.
+        pub standing: Standing,
+        /// Its upstreams.
+        pub upstreams: Vec<key::Upstream>,
+    }
+
+    /// An upstream with its references resolved.
+    pub struct Upstream {
+        /// Its name.
+        pub name: String,
+        /// Identity that is equal on every node and differs when the address does.
+        pub ident: u64,
+        /// Its service.
+        pub service: key::Service,
+        /// Its version.
+        pub version: key::Version,
+        /// Its failure domain.
+        pub domain: key::Domain,
+        /// Where it listens.
+        pub address: SocketAddr,
+    }
+
+    /// A failure domain.
+    pub struct Domain {
+        /// Its name.
+        pub name: String,
+        /// Whether operators have taken it out.
+        pub out: bool,
+        /// End of the withdrawal in milliseconds of Unix time, if it has one.
+        pub until_ms: Option<u64>,
+    }
+
+    /// A workspace and its limits.
+    pub struct Workspace {
+        /// Its name.
+        pub name: String,
+        /// Share against other workspaces when calls wait.
+        pub weight: u32,
+        /// Calls in progress at one entry.
+        pub limit: u32,
+    }
+
+    /// A route with its references resolved.
+    pub struct Route {
+        /// Its name.
+        pub name: String,
+        /// Identity that is equal on every node.
+        pub ident: u64,
+        /// Its service.
+        pub service: key::Service,
+        /// The method, or any.
+        pub method: Option<String>,
+        /// The start of the path.
+        pub prefix: String,
+        /// Whether a request may run more than once.
+        pub idempotent: bool,
+    }
+
+    /// A move with its references resolved.
+    pub struct Move {
+        /// Its name.
+        pub name: String,
+        /// Identity that is equal on every node.
+        pub ident: u64,
+        /// Its service.
+        pub service: key::Service,
+        /// The version that has the traffic.
+        pub from: key::Version,
+        /// The version that gets the traffic.
+        pub to: key::Version,
+        /// When the command was accepted, in milliseconds of Unix time.
+        pub start_ms: u64,
+        /// When the move has to be done, in milliseconds of Unix time.
+        pub deadline_ms: u64,
+        /// How far it is.
+        pub phase: Phase,
+    }
+}
+
+/// The arenas of one node.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    /// Number of the configuration in force.
+    pub number: u64,
+    /// Services.
+    pub services: SlotMap<key::Service, Service>,
+    /// Failure domains.
+    pub domains: SlotMap<key::Domain, Domain>,
+    /// Workspaces.
+    pub workspaces: SlotMap<key::Workspace, Workspace>,
+    /// Versions.
+    pub versions: SlotMap<key::Version, Version>,
+    /// Upstreams.
+    pub upstreams: SlotMap<key::Upstream, Upstream>,
+    /// Routes.
+    pub routes: SlotMap<key::Route, Route>,
+    /// Moves.
+    pub moves: SlotMap<key::Move, Move>,
+    names: Names,
+}
+
+/// Keys by name.
+#[derive(Clone, Debug, Default)]
+struct Names {
+    services: BTreeMap<String, key::Service>,
+    domains: BTreeMap<String, key::Domain>,
+    workspaces: BTreeMap<String, key::Workspace>,
+    versions: BTreeMap<String, key::Version>,
+    upstreams: BTreeMap<String, key::Upstream>,
+    upstream_idents: BTreeMap<u64, key::Upstream>,
+    routes: BTreeMap<String, key::Route>,
+    moves: BTreeMap<String, key::Move>,
+}
+
+/// Upstreams that came and went with a configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delta {
+    /// Upstreams that are new.
+    pub added: Vec<key::Upstream>,
+    /// Upstreams that are gone; their keys no longer lead anywhere.
+    pub removed: Vec<key::Upstream>,
+}
+
+impl Catalog {
+    /// Takes over a configuration, unless one with the same or a greater number is in force.
+    ///
+    /// Returns `None` if the configuration was not newer. Objects that stay keep their keys.
+    pub fn adopt(&mut self, config: &Config) -> Option<Delta> {
+        if config.number <= self.number {
+            return None;
+        }
+        self.number = config.number;
+        self.adopt_plain(config);
+        self.adopt_services(config);
+        self.adopt_versions(config);
+        let delta = self.adopt_upstreams(config);
+        self.adopt_routes(config);
+        self.adopt_moves(config);
+        self.link();
+        Some(delta)
+    }
+
+    /// Finds a service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<key::Service> {
+        self.names.services.get(name).copied()
+    }
+
+    /// Finds a failure domain by name.
+    #[must_use]
+    pub fn domain(&self, name: &str) -> Option<key::Domain> {
+        self.names.domains.get(name).copied()
+    }
+
+    /// Finds a workspace by name.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<key::Workspace> {
+        self.names.workspaces.get(name).copied()
+    }
+
+    /// Finds an upstream by name.
+    #[must_use]
+    pub fn upstream(&self, name: &str) -> Option<key::Upstream> {
+        let found = self.upstreams.iter().find(|(_, upstream)| upstream.name == name)?;
+        Some(found.0)
+    }
+
+    /// Finds an upstream by the identity that is equal on every node.
+    #[must_use]
+    pub fn upstream_ident(&self, ident: u64) -> Option<key::Upstream> {
+        self.names.upstream_idents.get(&ident).copied()
+    }
+
+    /// Finds a move by the identity that is equal on every node.
+    #[must_use]
+    pub fn move_ident(&self, ident: u64) -> Option<key::Move> {
+        let found = self.moves.iter().find(|(_, plan)| plan.ident == ident)?;
+        Some(found.0)
+    }
+
+    /// Finds the route of a request by method and path.
+    #[must_use]
+    pub fn route(&self, service: key::Service, method: &str, path: &str) -> Option<key::Route> {
+        let routes = &self.services.get(service)?.routes;
+        routes.iter().copied().find(|key| {
+            let route = &self.routes[*key];
+            let fits = route.method.as_deref().is_none_or(|wanted| wanted == method);
+            fits && path.starts_with(&route.prefix)
+        })
+    }
+
+    /// Tells whether operators have taken a failure domain out at `now_ms` of Unix time.
+    #[must_use]
+    pub fn is_out(&self, domain: key::Domain, now_ms: u64) -> bool {
+        let Some(domain) = self.domains.get(domain) else {
+            return true;
+        };
+        domain.out && domain.until_ms.is_none_or(|until| now_ms < until)
+    }
+
+    fn adopt_plain(&mut self, config: &Config) {
+        let domains = config.domains.iter().map(|(name, domain)| {
+            let object::Domain { out, until_ms, .. } = *domain;
+            (name.clone(), Domain { name: name.clone(), out, until_ms })
+        });
+        sync(&mut self.domains, &mut self.names.domains, domains);
+        let workspaces = config.workspaces.iter().map(|(name, workspace)| {
+            let object::Workspace { weight, limit, .. } = *workspace;
+            (name.clone(), Workspace { name: name.clone(), weight, limit })
+        });
+        sync(&mut self.workspaces, &mut self.names.workspaces, workspaces);
+    }
+
+    fn adopt_services(&mut self, config: &Config) {
+        let services = config.services.iter().map(|(name, service)| {
+            let resolved = Service {
+                name: name.clone(),
+                ident: digest(&[b"service", name.as_bytes()]),
+                slots: service.slots,
+                cold: service.cold,
+                timeout: Span::millis(service.timeout_ms),
+                serving: None,
+                versions: Vec::new(),
+                routes: Vec::new(),
+                plan: None,
+            };
+            (name.clone(), resolved)
+        });
+        sync(&mut self.services, &mut self.names.services, services);
+    }
+
+    fn adopt_versions(&mut self, config: &Config) {
+        let names = &self.names.services;
+        let versions = config.versions.iter().filter_map(|(name, version)| {
+            let resolved = Version {
+                name: name.rsplit('/').next().unwrap_or(name).into(),
+                ident: digest(&[b"version", name.as_bytes()]),
+                service: *names.get(&version.service)?,
+                standing: version.standing,
+                upstreams: Vec::new(),
+            };
+            Some((name.clone(), resolved))
+        });
+        sync(&mut self.versions, &mut self.names.versions, versions);
+    }
+
+    fn adopt_upstreams(&mut self, config: &Config) -> Delta {
+        let names = &self.names;
+        let upstreams = config.upstreams.iter().filter_map(|(name, upstream)| {
+            let address = upstream.address.to_string();
+            let resolved = Upstream {
+                name: name.clone(),
+                ident: digest(&[b"upstream", name.as_bytes(), address.as_bytes()]),
+                service: *names.services.get(&upstream.service)?,
+                version: *names.versions.get(&path(&upstream.service, &upstream.version))?,
+                domain: *names.domains.get(&upstream.domain)?,
+                address: upstream.address,
+            };
+            Some((format!("{name}@{address}"), resolved))
+        });
+        let upstreams: Vec<_> = upstreams.collect();
+        let delta =
+            sync(&mut self.upstreams, &mut self.names.upstreams, upstreams.into_iter()).into();
+        let idents = self.upstreams.iter().map(|(key, upstream)| (upstream.ident, key));
+        self.names.upstream_idents = idents.collect();
+        delta
+    }
+
+    fn adopt_routes(&mut self, config: &Config) {
+        let names = &self.names.services;
+        let routes = config.routes.iter().filter_map(|(name, route)| {
+            let resolved = Route {
+                name: name.clone(),
+                ident: digest(&[b"route", name.as_bytes()]),
+                service: *names.get(&route.service)?,
+                method: route.method.clone(),
+                prefix: route.prefix.clone(),
+                idempotent: route.idempotent,
+            };
+            Some((name.clone(), resolved))
+        });
+        sync(&mut self.routes, &mut self.names.routes, routes);
+    }
+
+    fn adopt_moves(&mut self, config: &Config) {
+        let names = &self.names;
+        let moves = config.moves.iter().filter_map(|(name, plan)| {
+            let version = |version: &str| names.versions.get(&path(&plan.service, version));
+            let resolved = Move {
+                name: name.clone(),
+                ident: digest(&[b"move", name.as_bytes()]),
+                service: *names.services.get(&plan.service)?,
+                from: *version(&plan.from)?,
+                to: *version(&plan.to)?,
+                start_ms: plan.start_ms,
+                deadline_ms: plan.deadline_ms,
+                phase: plan.phase,
+            };
+            Some((name.clone(), resolved))
+        });
+        let moves: Vec<_> = moves.collect();
+        sync(&mut self.moves, &mut self.names.moves, moves.into_iter());
+        for (name, service) in &config.services {
+            let serving = service.serving.as_ref();
+            let version = serving.and_then(|version| names_version(&self.names, name, version));
+            if let Some(key) = self.names.services.get(name) {
+                self.services[*key].serving = version;
+            }
+        }
+    }
+
+    /// Fills the lists that lead from an object to those that refer to it.
+    fn link(&mut self) {
+        for (key, upstream) in &self.upstreams {
+            self.versions[upstream.version].upstreams.push(key);
+        }
+        for (key, version) in &self.versions {
+            self.services[version.service].versions.push(key);
+        }
+        for (key, route) in &self.routes {
+            self.services[route.service].routes.push(key);
+        }
+        for (key, plan) in &self.moves {
+            if !plan.phase.is_final() {
+                self.services[plan.service].plan = Some(key);
+            }
+        }
+        let routes = &self.routes;
+        let rank = |key: &key::Route| {
+            let route = &routes[*key];
+            (std::cmp::Reverse(route.prefix.len()), route.method.is_none(), route.ident)
+        };
+        for service in self.services.values_mut() {
+            service.routes.sort_by_key(rank);
+        }
+    }
+}
+
+fn names_version(names: &Names, service: &str, version: &str) -> Option<key::Version> {
+    names.versions.get(&path(service, version)).copied()
+}
+
+/// Makes an arena hold exactly the wanted values; values of names that stay keep their keys.
+fn sync<K: Key, T>(
+    arena: &mut SlotMap<K, T>,
+    names: &mut BTreeMap<String, K>,
+    wanted: impl Iterator<Item = (String, T)>,
+) -> DeltaOf<K> {
+    let mut delta = DeltaOf { added: Vec::new(), removed: Vec::new() };
+    let mut old = std::mem::take(names);
+    for (name, value) in wanted {
+        let key = match old.remove(&name) {
+            Some(key) => {
+                arena[key] = value;
+                key
+            }
+            None => {
+                let key = arena.insert(value);
+                delta.added.push(key);
+                key
+            }
+        };
+        names.insert(name, key);
+    }
+    for key in old.into_values() {
+        arena.remove(key);
+        delta.removed.push(key);
+    }
+    delta
+}
+
+/// Keys that came and went in one arena.
+struct DeltaOf<K> {
+    added: Vec<K>,
+    removed: Vec<K>,
+}
+
+impl From<DeltaOf<key::Upstream>> for Delta {
+    fn from(delta: DeltaOf<key::Upstream>) -> Self {
+        Self { added: delta.added, removed: delta.removed }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/attempt.rs
@@ -0,0 +1,113 @@
+//! One attempt at a call.
+
+use base::prelude::*;
+
+symbols! {
+    /// What is known of whether a request has run.
+    pub enum State {
+        /// No byte has left.
+        Ready = "ready",
+        /// Bytes have left.
+        Sent = "sent",
+        /// The head of an answer has come.
+        Answering = "answering",
+        /// It certainly has not run.
+        NotRun = "not-run",
+        /// It may have run.
+        Unknown = "unknown",
+        /// It ran and its answer was passed on in part.
+        Cut = "cut",
+        /// It ran and its whole answer was passed on.
+        Complete = "complete",
+    }
+}
+
+symbols! {
+    /// What happens to an attempt.
+    pub enum Event {
+        /// No connection could be opened.
+        ConnectFailed = "connect-failed",
+        /// The connection gave the request back unsent.
+        NeverSent = "never-sent",
+        /// The request was handed to the connection.
+        Sent = "sent",
+        /// The upstream refused it and said that it has not run.
+        Refused = "refused",
+        /// The head of an answer came.
+        Head = "head",
+        /// The head of an answer came and it tells of a failure.
+        HeadFailed = "head-failed",
+        /// The answer ended as its framing says.
+        End = "end",
+        /// The connection broke or the answer is not well formed.
+        Broken = "broken",
+        /// The deadline passed.
+        Late = "late",
+        /// The caller left.
+        Left = "left",
+    }
+}
+
+symbols! {
+    /// What an entry does about it.
+    pub enum Action {
+        /// Tries again within the budget.
+        Retry = "retry",
+        /// Tries again without a charge, since the connection had closed before.
+        RetryFree = "retry-free",
+        /// Tries again within the budget if the request is idempotent.
+        RetryIdempotent = "retry-idempotent",
+        /// Tries again if idempotent and within the budget, else passes the answer on.
+        PassOrRetry = "pass-or-retry",
+        /// Passes the answer on.
+        Pass = "pass",
+        /// Tells the caller that the deadline passed before anything was sent.
+        RefuseLate = "refuse-late",
+        /// Tells the caller that the outcome is unknown.
+        ReportUnknown = "report-unknown",
+        /// Ends the call with nothing to tell.
+        Forget = "forget",
+        /// Ends the call after its whole answer.
+        Finish = "finish",
+        /// Counts an answer for the upstream.
+        Credit = "credit",
+        /// Counts a failed connect against the upstream.
+        BlameConnect = "blame-connect",
+        /// Counts a failed answer against the upstream.
+        BlameAnswer = "blame-answer",
+        /// Counts a broken exchange against the upstream.
+        BlameBreak = "blame-break",
+        /// Counts a passed deadline against the upstream.
+        BlameLate = "blame-late",
+        /// Notes that the upstream sheds load.
+        NoteRefusal = "note-refusal",
+    }
+}
+
+record! {
+    /// An attempt in progress.
+    pub struct Attempt {
+        /// The call.
+        pub call: key::Call,
+        /// The upstream.
+        pub upstream: key::Upstream,
+        /// What is known of it.
+        pub state: State,
+        /// When it was granted.
+        pub start: Moment,
+        /// When it was handed to a connection.
+        pub sent_at: Option<Moment>,
+        /// Calls estimated at the upstream when it was granted.
+        pub ahead: f64,
+        /// Whether it uses a grant of a cold upstream's owner.
+        pub granted: Option<u64>,
+    }
+}
+
+impl State {
+    /// Tells whether nothing more can happen to the attempt.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::NotRun | Self::Unknown | Self::Cut | Self::Complete)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/balance/choose.rs
@@ -0,0 +1,75 @@
+//! Ways to choose among upstreams.
+
+use base::prelude::*;
+use rand::{Rng, RngExt};
+
+/// Difference of costs that counts as none, as a share of the lower one.
+const TIE: f64 = 0.02;
+
+/// An upstream that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Its key.
+    pub upstream: key::Upstream,
+    /// Expected time of one more call there, in microseconds.
+    pub cost: f64,
+}
+
+/// A way to choose.
+pub trait Chooser {
+    /// Returns the position of the chosen candidate, or `None` if there are none.
+    fn choose(&mut self, candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize>;
+}
+
+/// Chooses the least cost over all candidates, at random among equals.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Least;
+
+/// Chooses the lesser cost of two candidates drawn at random.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TwoChoices;
+
+/// Chooses at random.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Random;
+
+/// Chooses in turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Chooser for Least {
+    fn choose(&mut self, candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+        let least = candidates.iter().map(|candidate| candidate.cost).reduce(f64::min)?;
+        let bound = least * (1.0 + TIE);
+        let equals = || candidates.iter().enumerate().filter(|(_, one)| one.cost <= bound);
+        let pick = rng.random_range(0..equals().count());
+        equals().nth(pick).map(|(position, _)| position)
+    }
+}
+
+impl Chooser for TwoChoices {
+    fn choose(&mut self, candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let one = rng.random_range(0..candidates.len());
+        let other = rng.random_range(0..candidates.len());
+        Some(if candidates[other].cost < candidates[one].cost { other } else { one })
+    }
+}
+
+impl Chooser for Random {
+    fn choose(&mut self, candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+        (!candidates.is_empty()).then(|| rng.random_range(0..candidates.len()))
+    }
+}
+
+impl Chooser for RoundRobin {
+    fn choose(&mut self, candidates: &[Candidate], _: &mut impl Rng) -> Option<usize> {
+        let position = self.next.checked_rem(candidates.len())?;
+        self.next = self.next.wrapping_add(1);
+        Some(position)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/charts.rs
@@ -0,0 +1,46 @@
+//! The state charts of all machines, compiled.
+
+use chart::Chart;
+use derive_more::{Display, Error};
+
+use crate::{attempt, upstream};
+
+/// The text of the upstream's chart.
+pub const UPSTREAM: &str = include_str!("../../../charts/upstream.jsonc");
+/// The text of the attempt's chart.
+pub const ATTEMPT: &str = include_str!("../../../charts/attempt.jsonc");
+
+/// A chart that does not fit the code.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("chart '{name}': {cause}")]
+pub struct Fault {
+    /// The chart's name.
+    pub name: &'static str,
+    /// What does not fit.
+    #[error(source)]
+    pub cause: chart::Error,
+}
+
+/// Every compiled chart.
+#[derive(Clone, Debug)]
+pub struct Charts {
+    /// The life of an upstream.
+    pub upstream: Chart<upstream::State, upstream::Event, upstream::Action>,
+    /// One attempt at a call.
+    pub attempt: Chart<attempt::State, attempt::Event, attempt::Action>,
+}
+
+impl Charts {
+    /// Loads and checks every chart.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first chart that does not fit.
+    pub fn load() -> Result<Self, Fault> {
+        let fault = |name| move |cause| Fault { name, cause };
+        Ok(Self {
+            upstream: Chart::load(UPSTREAM).map_err(fault("upstream"))?,
+            attempt: Chart::load(ATTEMPT).map_err(fault("attempt"))?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/engine/cold.rs
@@ -0,0 +1,384 @@
+//! Upstreams in a cold start: what their owner grants and what others ask for.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use rand::RngExt;
+
+use super::{Engine, Output};
+use crate::Now;
+use crate::balance::Chooser;
+use crate::message::{Message, News};
+use crate::quota::{self, Allotment, GRANT_TERM};
+use crate::roster::Roster;
+use crate::upstream::{Event, State};
+
+/// Share of an owner's calls that goes to its cold upstreams although warm ones have room.
+const EXPLORE: f64 = 0.2;
+/// Asks of one entry that are open at a time, for each service.
+const OPEN_ASKS: usize = 8;
+/// Time after a denial or a lost ask before the same upstream is asked again.
+const ASK_PAUSE: Span = Span::millis(20);
+
+/// What this entry has asked of owners.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Asks {
+    next: u64,
+    open: BTreeMap<u64, Ask>,
+    paused: BTreeMap<key::Upstream, Moment>,
+}
+
+/// One open ask.
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    upstream: key::Upstream,
+    sent: Moment,
+}
+
+impl<C: Chooser> Engine<C> {
+    /// Adopts a roster and cedes what this member no longer owns.
+    pub(super) fn adopt_roster(
+        &mut self,
+        now: Now,
+        asked_at: Moment,
+        roster: &Roster,
+        out: &mut Vec<Output>,
+    ) {
+        if roster.number <= self.tenure.number() {
+            self.tenure.confirm(now.at, asked_at, roster);
+            return;
+        }
+        let held = self.held(now);
+        self.tenure.confirm(now.at, asked_at, roster);
+        for ident in held {
+            let Some(owner) = roster.owner(ident) else { continue };
+            if owner != self.tenure.me() {
+                let message = self.cession(now, roster.number, ident);
+                out.push(Output::Send { to: owner, message });
+            }
+        }
+        self.drain_queues(now, out);
+    }
+
+    /// Returns the upstreams that this member may act for.
+    fn held(&self, now: Now) -> Vec<u64> {
+        let upstreams = self.catalog.upstreams.iter();
+        let held = upstreams.filter(|(key, _)| self.may_own(now, *key));
+        held.map(|(_, upstream)| upstream.ident).collect()
+    }
+
+    fn cession(&mut self, now: Now, number: u64, upstream: u64) -> Message {
+        let allotment = self.allotments.remove(&upstream);
+        let limit = allotment.as_ref().map_or(0, |allotment| allotment.limit);
+        let grants = allotment.map(|allotment| allotment.out).unwrap_or_default();
+        let open = grants.into_iter().filter(|(_, grant)| grant.until > now.at);
+        let out = open.map(|(serial, grant)| (serial, grant.holder)).collect();
+        Message::Cede { number, upstream, limit, out }
+    }
+
+    /// Tells whether this member may act as the owner of an upstream.
+    fn may_own(&self, now: Now, key: key::Upstream) -> bool {
+        let upstream = &self.catalog.upstreams[key];
+        self.tenure.holds(now.at, upstream.ident, GRANT_TERM + self.linger(key))
+    }
+
+    /// Returns how long a call may last at an upstream.
+    fn linger(&self, key: key::Upstream) -> Span {
+        let upstream = &self.catalog.upstreams[key];
+        self.catalog.services[upstream.service].timeout
+    }
+
+    fn allotment(&mut self, key: key::Upstream) -> &mut Allotment {
+        let upstream = &self.catalog.upstreams[key];
+        let cold = self.catalog.services[upstream.service].cold;
+        self.allotments.entry(upstream.ident).or_insert_with(|| Allotment::new(cold))
+    }
+
+    /// Lets an upstream start from its cold limit again, with its open grants still counted.
+    pub(super) fn reset_allotment(&mut self, key: key::Upstream) {
+        let upstream = &self.catalog.upstreams[key];
+        let cold = self.catalog.services[upstream.service].cold;
+        if let Some(allotment) = self.allotments.get_mut(&upstream.ident) {
+            allotment.limit = cold.max(1);
+            allotment.good = 0;
+        }
+    }
+
+    /// Finds a cold upstream of this owner that a call should go to.
+    ///
+    /// Without room at warm upstreams every call may go there, else a small share.
+    pub(super) fn own_cold(
+        &mut self,
+        now: Now,
+        call: key::Call,
+        version: key::Version,
+    ) -> Option<key::Upstream> {
+        let upstreams = self.catalog.versions.get(version)?.upstreams.clone();
+        let room = upstreams.iter().any(|key| self.may_take(now, call, *key));
+        if room && !self.rng.random_bool(EXPLORE) {
+            return None;
+        }
+        let fits = |key: &key::Upstream| {
+            self.is_cold(*key) && self.may_own(now, *key) && self.may_go(now, call, *key)
+        };
+        let owned: Vec<key::Upstream> = upstreams.into_iter().filter(fits).collect();
+        owned.into_iter().find(|key| self.allotment(*key).is_free(now.at))
+    }
+
+    fn is_cold(&self, key: key::Upstream) -> bool {
+        let state = self.upstreams.get(key).map(|upstream| upstream.state);
+        matches!(state, Some(State::Fresh | State::Cold))
+    }
+
+    /// Grants a call to this member itself and returns its serial.
+    pub(super) fn grant_self(&mut self, now: Now, key: key::Upstream) -> u64 {
+        let (serial, me, linger) = (self.next_serial(), self.tenure.me(), self.linger(key));
+        self.stats.granted += 1;
+        self.allotment(key).grant(now.at, me, serial, linger);
+        serial
+    }
+
+    fn next_serial(&mut self) -> u64 {
+        self.asks.next += 1;
+        // The member's identity keeps serials of different members apart.
+        base::hash::mix(self.tenure.me().wrapping_add(self.asks.next))
+    }
+
+    /// Asks owners of cold upstreams for calls, as many as wait.
+    pub(super) fn ask_owners(&mut self, now: Now, service: key::Service, out: &mut Vec<Output>) {
+        let waiting = self.queues.get(service).map_or(0, super::super::queue::Queue::len);
+        let Some(known) = self.catalog.services.get(service) else { return };
+        let serving = known.serving.and_then(|version| self.catalog.versions.get(version));
+        let Some(version) = serving else { return };
+        let open = self.asks.open.values();
+        let open = open.filter(|ask| version.upstreams.contains(&ask.upstream)).count();
+        let room = waiting.min(OPEN_ASKS).saturating_sub(open);
+        let fits = |key: &&key::Upstream| self.may_ask(now, **key);
+        let targets: Vec<_> = version.upstreams.iter().filter(fits).copied().take(room).collect();
+        for upstream in targets {
+            self.ask(now, upstream, out);
+        }
+    }
+
+    fn may_ask(&self, now: Now, key: key::Upstream) -> bool {
+        let upstream = &self.catalog.upstreams[key];
+        let asked = self.asks.open.values().any(|ask| ask.upstream == key);
+        let paused = self.asks.paused.get(&key).is_some_and(|until| now.at < *until);
+        self.is_cold(key)
+            && !asked
+            && !paused
+            && !self.out_domains.contains(&upstream.domain)
+            && !self.tenure.is_owner(upstream.ident)
+    }
+
+    fn ask(&mut self, now: Now, key: key::Upstream, out: &mut Vec<Output>) {
+        let upstream = self.catalog.upstreams[key].ident;
+        let owner = self.tenure.roster().and_then(|roster| roster.owner(upstream));
+        let Some(owner) = owner else { return };
+        let serial = self.next_serial();
+        self.stats.asked += 1;
+        self.asks.open.insert(serial, Ask { upstream: key, sent: now.at });
+        out.push(Output::Send { to: owner, message: Message::Ask { upstream, serial } });
+    }
+
+    /// Forgets asks that no answer may come to any more.
+    pub(super) fn expire_asks(&mut self, now: Now) {
+        self.asks.open.retain(|_, ask| now.at < ask.sent + GRANT_TERM);
+        self.asks.paused.retain(|_, until| now.at < *until);
+    }
+
+    /// Takes a message of a peer.
+    pub(super) fn peer(&mut self, now: Now, from: u64, message: Message, out: &mut Vec<Output>) {
+        match message {
+            Message::Ask { upstream, serial } => self.asked(now, from, upstream, serial, out),
+            Message::Grant { upstream, serial } => self.granted(now, from, upstream, serial, out),
+            Message::Deny { serial, .. } => {
+                if let Some(ask) = self.asks.open.remove(&serial) {
+                    self.asks.paused.insert(ask.upstream, now.at + ASK_PAUSE);
+                }
+            }
+            Message::Settle { upstream, serial, result } => {
+                if let Some(key) = self.catalog.upstream_ident(upstream) {
+                    self.settled(now, key, serial, result, out);
+                }
+            }
+            Message::Cede { number, upstream, limit, out: open } => {
+                self.ceded(now, number, upstream, limit, &open, out);
+            }
+            Message::Down { upstream } => self.told_down(now, upstream, out),
+            Message::News(news) => {
+                for item in news {
+                    self.hear(now, item, out);
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, now: Now, from: u64, upstream: u64, serial: u64, out: &mut Vec<Output>) {
+        let key = self.catalog.upstream_ident(upstream);
+        let key = key.filter(|key| self.is_cold(*key) && self.may_own(now, *key));
+        let granted = key.is_some_and(|key| {
+            let linger = self.linger(key);
+            self.allotment(key).grant(now.at, from, serial, linger)
+        });
+        let message = if granted {
+            self.stats.granted += 1;
+            Message::Grant { upstream, serial }
+        } else {
+            Message::Deny { upstream, serial }
+        };
+        out.push(Output::Send { to: from, message });
+    }
+
+    /// Uses a grant for the next waiting call, or gives it back.
+    fn granted(&mut self, now: Now, from: u64, upstream: u64, serial: u64, out: &mut Vec<Output>) {
+        let asked = self.asks.open.remove(&serial);
+        // The term counts from the asking, which is before the owner's granting.
+        let ask = asked.filter(|ask| now.at < ask.sent + GRANT_TERM);
+        let usable = ask.map(|ask| ask.upstream).filter(|key| self.is_cold(*key));
+        let call = usable.and_then(|key| self.waiting_for(now, key));
+        match (usable, call) {
+            (Some(key), Some(call)) => self.grant(now, call, key, Some(serial), out),
+            _ => {
+                let result = quota::Result::Unused;
+                let message = Message::Settle { upstream, serial, result };
+                out.push(Output::Send { to: from, message });
+            }
+        }
+    }
+
+    /// Takes the next waiting call that may go to an upstream out of its queue.
+    fn waiting_for(&mut self, now: Now, key: key::Upstream) -> Option<key::Call> {
+        let service = self.catalog.upstreams[key].service;
+        let ticket = self.queues.get_mut(service)?.pop()?;
+        if self.calls.contains_key(ticket.call) && self.may_go(now, ticket.call, key) {
+            return Some(ticket.call);
+        }
+        let workspace = self.calls.get(ticket.call)?.request.workspace;
+        self.queues[service].restore(workspace, ticket);
+        None
+    }
+
+    /// Settles a grant with its owner, who may be this member.
+    pub(super) fn settle_grant(
+        &mut self,
+        now: Now,
+        key: key::Upstream,
+        serial: u64,
+        result: quota::Result,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(known) = self.catalog.upstreams.get(key) else { return };
+        let upstream = known.ident;
+        let owner = self.tenure.roster().and_then(|roster| roster.owner(upstream));
+        match owner {
+            Some(owner) if owner != self.tenure.me() => {
+                let message = Message::Settle { upstream, serial, result };
+                out.push(Output::Send { to: owner, message });
+            }
+            _ => self.settled(now, key, serial, result, out),
+        }
+    }
+
+    fn settled(
+        &mut self,
+        now: Now,
+        key: key::Upstream,
+        serial: u64,
+        result: quota::Result,
+        out: &mut Vec<Output>,
+    ) {
+        let known = &self.catalog.upstreams[key];
+        let service = &self.catalog.services[known.service];
+        let (cold, slots, service) = (service.cold, service.slots, known.service);
+        let Some(allotment) = self.allotments.get_mut(&known.ident) else { return };
+        let proven = allotment.settle(serial, result, cold, slots);
+        if proven && self.is_cold(key) && self.may_own(now, key) {
+            self.upstream_event(now, key, Event::Proven, out);
+        }
+        self.drain_queue(now, service, out);
+    }
+
+    fn ceded(
+        &mut self,
+        now: Now,
+        number: u64,
+        upstream: u64,
+        limit: u32,
+        open: &[(u64, u64)],
+        out: &mut Vec<Output>,
+    ) {
+        let Some(key) = self.catalog.upstream_ident(upstream) else { return };
+        if !self.tenure.cede(number, upstream) {
+            return;
+        }
+        let linger = self.linger(key);
+        let allotment = self.allotment(key);
+        allotment.limit = allotment.limit.max(limit);
+        for (serial, holder) in open {
+            allotment.inherit(now.at, *holder, *serial, linger);
+        }
+        let service = self.catalog.upstreams[key].service;
+        self.drain_queue(now, service, out);
+    }
+
+    /// Tells the owner that connections to its upstream fail.
+    pub(super) fn report_down(&mut self, now: Now, upstream: u64, out: &mut Vec<Output>) {
+        let owner = self.tenure.roster().and_then(|roster| roster.owner(upstream));
+        match owner {
+            Some(owner) if owner != self.tenure.me() => {
+                out.push(Output::Send { to: owner, message: Message::Down { upstream } });
+            }
+            // The owner's own failed connects are proof enough of a restart to come.
+            Some(_) => self.announce_restart(now, upstream, out),
+            None => {}
+        }
+    }
+
+    fn announce_restart(&mut self, _now: Now, ident: u64, out: &mut Vec<Output>) {
+        let Some(key) = self.catalog.upstream_ident(ident) else { return };
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        if upstream.epoch % 2 == 0 {
+            upstream.epoch += 1;
+            self.stats.cold_starts += 1;
+            out.push(Output::Spread(News::Thermal { upstream: ident, epoch: upstream.epoch }));
+        }
+        self.reset_allotment(key);
+    }
+
+    /// Checks a peer's report of failed connects by sending the next call there itself.
+    fn told_down(&mut self, now: Now, ident: u64, out: &mut Vec<Output>) {
+        let Some(key) = self.catalog.upstream_ident(ident) else { return };
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let down = upstream.state == State::Down || upstream.refusals > 0;
+        if down && self.may_own(now, key) {
+            self.announce_restart(now, ident, out);
+        }
+    }
+
+    /// Takes in news of a peer.
+    fn hear(&mut self, now: Now, news: News, out: &mut Vec<Output>) {
+        match news {
+            News::Thermal { upstream, epoch } => {
+                let Some(key) = self.catalog.upstream_ident(upstream) else { return };
+                if epoch <= self.upstreams[key].epoch {
+                    return;
+                }
+                self.upstreams[key].epoch = epoch;
+                let cold = epoch % 2 == 1;
+                if cold {
+                    self.reset_allotment(key);
+                }
+                let event = if cold { Event::ToldCold } else { Event::ToldWarm };
+                self.upstream_event(now, key, event, out);
+            }
+            News::Drain { upstream, epoch } => {
+                let Some(key) = self.catalog.upstream_ident(upstream) else { return };
+                let known = &self.upstreams[key];
+                if epoch >= known.epoch && known.state != State::Draining {
+                    self.upstream_event(now, key, Event::Draining, out);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/engine/dump.rs
@@ -0,0 +1,105 @@
+//! The state of an engine for operators.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use serde::Serialize;
+
+use super::{Engine, Stats};
+use crate::Now;
+use crate::balance::Chooser;
+use crate::quota::Allotment;
+use crate::roster::Roster;
+use crate::upstream::State;
+
+/// Everything that an engine knows, by name.
+#[derive(Clone, Debug, Serialize)]
+pub struct Dump {
+    /// Number of the configuration in force.
+    pub number: u64,
+    /// This member's identity.
+    pub me: u64,
+    /// The newest roster known.
+    pub roster: Option<Roster>,
+    /// Milliseconds since the roster was last known to be current.
+    pub roster_age_ms: u64,
+    /// Upstreams by name.
+    pub upstreams: BTreeMap<String, Upstream>,
+    /// Waiting calls by service.
+    pub waiting: BTreeMap<String, usize>,
+    /// Calls in progress or waiting.
+    pub calls: usize,
+    /// Failure domains that are out.
+    pub out: Vec<String>,
+    /// Counts since the start.
+    pub stats: Stats,
+}
+
+/// What an engine knows of one upstream.
+#[derive(Clone, Debug, Serialize)]
+pub struct Upstream {
+    /// Its service.
+    pub service: String,
+    /// Its version.
+    pub version: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where it listens.
+    pub address: std::net::SocketAddr,
+    /// Where it is in its life.
+    pub state: State,
+    /// Count of cold starts and of their ends.
+    pub epoch: u32,
+    /// Calls of this entry in progress there.
+    pub own: u32,
+    /// Calls estimated to be in progress there.
+    pub load: f64,
+    /// Time for one call without waiting, in microseconds.
+    pub service_us: f64,
+    /// Whether this member owns it.
+    pub owner: bool,
+    /// What the owner lets it bear.
+    pub allotment: Option<Allotment>,
+}
+
+impl<C: Chooser> Engine<C> {
+    /// Returns the whole state for operators.
+    #[must_use]
+    pub fn dump(&self, now: Now) -> Dump {
+        let name = |key: &key::Domain| self.catalog.domains.get(*key).map(|one| one.name.clone());
+        let waiting = self.queues.iter().filter_map(|(key, queue)| {
+            let service = self.catalog.services.get(key)?;
+            Some((service.name.clone(), queue.len()))
+        });
+        Dump {
+            number: self.catalog.number,
+            me: self.tenure.me(),
+            roster: self.tenure.roster().cloned(),
+            roster_age_ms: now.at.since(self.tenure.confirmed_at()).as_millis(),
+            upstreams: self.catalog.upstreams.keys().map(|key| self.dump_one(now, key)).collect(),
+            waiting: waiting.collect(),
+            calls: self.calls.len(),
+            out: self.out_domains.iter().filter_map(name).collect(),
+            stats: self.stats,
+        }
+    }
+
+    fn dump_one(&self, now: Now, key: key::Upstream) -> (String, Upstream) {
+        let known = &self.catalog.upstreams[key];
+        let state = &self.upstreams[key];
+        let upstream = Upstream {
+            service: self.catalog.services[known.service].name.clone(),
+            version: self.catalog.versions[known.version].name.clone(),
+            domain: self.catalog.domains[known.domain].name.clone(),
+            address: known.address,
+            state: state.state,
+            epoch: state.epoch,
+            own: state.gauge.own,
+            load: state.gauge.load(now.at),
+            service_us: state.gauge.service,
+            owner: self.tenure.is_owner(known.ident),
+            allotment: self.allotments.get(&known.ident).cloned(),
+        };
+        (known.name.clone(), upstream)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,170 @@
+//! Calls that wait for an upstream, fair between workspaces.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use base::prelude::*;
+
+/// Units of work that a lane earns for each unit of weight at a turn.
+const QUANTUM: u32 = 1;
+
+/// A bounded queue with a lane for each workspace.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    lanes: BTreeMap<Option<key::Workspace>, Lane>,
+    turn: Option<Option<key::Workspace>>,
+    len: usize,
+    bound: usize,
+}
+
+/// Calls of one workspace.
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    calls: VecDeque<Ticket>,
+    weight: u32,
+    credit: u32,
+}
+
+value! {
+    /// A waiting call.
+    pub struct Ticket {
+        /// The call.
+        pub call: key::Call,
+        /// When its caller's patience ends.
+        pub deadline: Moment,
+    }
+}
+
+/// What became of a call that was to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Push {
+    /// It waits.
+    Waits,
+    /// It waits in place of this call of a workspace with more than its share.
+    Displaces(key::Call),
+    /// It does not wait: its workspace has the most calls waiting.
+    Full,
+}
+
+impl Queue {
+    /// Makes an empty queue for at most `bound` calls.
+    #[must_use]
+    pub fn new(bound: usize) -> Self {
+        Self { lanes: BTreeMap::new(), turn: None, len: 0, bound }
+    }
+
+    /// Returns the number of waiting calls.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether no call waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds a call; when the queue is full, the lane with the most calls for its weight yields.
+    pub fn push(&mut self, workspace: Option<key::Workspace>, weight: u32, ticket: Ticket) -> Push {
+        let lane = self.lanes.entry(workspace).or_default();
+        lane.weight = weight.max(1);
+        lane.calls.push_back(ticket);
+        self.len += 1;
+        if self.len <= self.bound {
+            return Push::Waits;
+        }
+        let longest = self.lanes.iter().max_by(|(_, one), (_, other)| {
+            let ahead = one.calls.len() as u64 * u64::from(other.weight);
+            ahead.cmp(&(other.calls.len() as u64 * u64::from(one.weight)))
+        });
+        let Some((&longest, _)) = longest else { return Push::Waits };
+        let dropped = self.lanes.get_mut(&longest).and_then(|lane| lane.calls.pop_back());
+        self.len -= 1;
+        match dropped {
+            Some(dropped) if dropped.call != ticket.call => Push::Displaces(dropped.call),
+            _ => Push::Full,
+        }
+    }
+
+    /// Removes the next call by weighted turns.
+    pub fn pop(&mut self) -> Option<Ticket> {
+        while self.len > 0 {
+            let workspace = self.current()?;
+            let lane = self.lanes.get_mut(&workspace)?;
+            if lane.credit > 0
+                && let Some(ticket) = lane.calls.pop_front()
+            {
+                lane.credit -= 1;
+                self.len -= 1;
+                return Some(ticket);
+            }
+            self.advance(workspace);
+        }
+        None
+    }
+
+    /// Puts a call back at the head of its lane.
+    pub fn restore(&mut self, workspace: Option<key::Workspace>, ticket: Ticket) {
+        let lane = self.lanes.entry(workspace).or_default();
+        lane.calls.push_front(ticket);
+        lane.credit += 1;
+        self.len += 1;
+    }
+
+    /// Removes a call wherever it waits.
+    pub fn remove(&mut self, workspace: Option<key::Workspace>, call: key::Call) {
+        if let Some(lane) = self.lanes.get_mut(&workspace) {
+            let before = lane.calls.len();
+            lane.calls.retain(|ticket| ticket.call != call);
+            self.len -= before - lane.calls.len();
+        }
+    }
+
+    /// Removes and returns every call whose deadline has passed.
+    pub fn expire(&mut self, now: Moment) -> Vec<key::Call> {
+        let mut late = Vec::new();
+        for lane in self.lanes.values_mut() {
+            lane.calls.retain(|ticket| {
+                let keep = ticket.deadline > now;
+                if !keep {
+                    late.push(ticket.call);
+                }
+                keep
+            });
+        }
+        self.len -= late.len();
+        self.lanes.retain(|_, lane| !lane.calls.is_empty());
+        late
+    }
+
+    /// Returns the lane whose turn it is.
+    fn current(&mut self) -> Option<Option<key::Workspace>> {
+        match self.turn {
+            Some(turn) if self.lanes.contains_key(&turn) => Some(turn),
+            _ => {
+                let first = self.lanes.keys().next().copied()?;
+                self.give_turn(first);
+                Some(first)
+            }
+        }
+    }
+
+    /// Gives the turn to the lane after `workspace` and forgets lanes that ran empty.
+    fn advance(&mut self, workspace: Option<key::Workspace>) {
+        if self.lanes.get(&workspace).is_some_and(|lane| lane.calls.is_empty()) {
+            self.lanes.remove(&workspace);
+        }
+        let after = (std::ops::Bound::Excluded(workspace), std::ops::Bound::Unbounded);
+        let next = self.lanes.range(after).next().or_else(|| self.lanes.iter().next());
+        if let Some((&next, _)) = next {
+            self.give_turn(next);
+        }
+    }
+
+    fn give_turn(&mut self, workspace: Option<key::Workspace>) {
+        if let Some(lane) = self.lanes.get_mut(&workspace) {
+            lane.credit = lane.weight.max(1) * QUANTUM;
+            self.turn = Some(workspace);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,92 @@
+//! Runs stand-ins and measurements.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use rig::local::{Fault, Local, Plan, SERVICE, TOKEN};
+
+/// First port of a local deployment.
+const FIRST_PORT: u16 = 17_000;
+
+/// Runs stand-ins for a deployment and measurements of it.
+#[derive(Debug, Parser)]
+#[command(name = "rig", version)]
+struct Arguments {
+    #[command(subcommand)]
+    work: Work,
+}
+
+#[derive(Debug, Subcommand)]
+enum Work {
+    /// Runs a store, upstreams and entries on loopback addresses.
+    Local {
+        /// Ends after this time; without it, on ctrl-C.
+        #[arg(long = "for", value_name = "TIME", value_parser = seconds)]
+        time: Option<Duration>,
+        /// Entries to run.
+        #[arg(long, default_value_t = 4)]
+        entries: usize,
+        /// First port of the deployment.
+        #[arg(long, default_value_t = FIRST_PORT)]
+        port: u16,
+    },
+}
+
+fn seconds(text: &str) -> Result<Duration, std::num::ParseIntError> {
+    text.trim_end_matches('s').parse().map(Duration::from_secs)
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let result = match arguments.work {
+        Work::Local { time, entries, port } => local(time, entries, port).await,
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn local(time: Option<Duration>, entries: usize, port: u16) -> Result<(), Fault> {
+    // Logs of the entries go to standard output, as the daemon's do.
+    let _ = entry::logs::start(log::LevelFilter::Warn);
+    let local = Local::start(&Plan { entries, port, ..Plan::default() }).await?;
+    print(&local);
+    match time {
+        Some(time) => tokio::time::sleep(time).await,
+        None => tokio::signal::ctrl_c().await?,
+    }
+    for entry in local.entries {
+        entry.handle.stop().await;
+    }
+    Ok(())
+}
+
+fn print(local: &Local) {
+    println!("store      {}", local.store.address);
+    for (number, upstream) in local.upstreams.iter().enumerate() {
+        println!("upstream {number} {}", upstream.address);
+    }
+    for (number, entry) in local.entries.iter().enumerate() {
+        let listen = entry.listen;
+        println!(
+            "entry {}    callers {}  operators {}",
+            number + 1,
+            listen.callers,
+            listen.operators
+        );
+    }
+    let listen = local.entries[0].listen;
+    println!("\nTry:");
+    println!("  curl -i -H 'nutmegwharf-service: {SERVICE}' http://{}/permits/7", listen.callers);
+    println!(
+        "  cargo run -q --release -p cli -- --entry {} --token {TOKEN} show upstreams",
+        listen.operators
+    );
+    println!("  curl -s -H 'authorization: Bearer {TOKEN}' http://{}/v1/dump", listen.operators);
+}
