--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -22,6 +22,7 @@
 
 use crate::header;
 use crate::keeper::{Current, Execute, Fault, Keeper};
+use crate::peers::{Measure, Peers};
 use crate::settings::Operator;
 use crate::steer::{Inspect, Steer};
 use meter::Meter;
@@ -39,6 +40,8 @@
     pub steer: Address<Steer>,
     /// The configuration.
     pub keeper: Address<Keeper<S>>,
+    /// The endpoint to peers.
+    pub peers: Address<Peers>,
     /// Who may do what.
     pub operators: Arc<[Operator]>,
     /// Metrics of this entry.
@@ -52,6 +55,7 @@
         Self {
             steer: self.steer.clone(),
             keeper: self.keeper.clone(),
+            peers: self.peers.clone(),
             operators: Arc::clone(&self.operators),
             meter: self.meter.clone(),
         }
@@ -113,7 +117,8 @@
 
     async fn metrics(&self) -> Reply {
         let Ok(state) = self.steer.send(Inspect).await else { return gone() };
-        let mut response = Response::new(Full::new(self.meter.render(&state).into()));
+        let Ok(traffic) = self.peers.send(Measure).await else { return gone() };
+        let mut response = Response::new(Full::new(self.meter.render(&state, &traffic).into()));
         let kind = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(CONTENT_TYPE, kind);
         response
@@ -122,9 +127,11 @@
     async fn dump(&self) -> Reply {
         let state = self.steer.send(Inspect).await;
         let config = self.keeper.send(Current).await;
-        match (state, config) {
-            (Ok(state), Ok(config)) => {
-                page(StatusCode::OK, &json!({ "state": *state, "config": *config }))
+        let traffic = self.peers.send(Measure).await;
+        match (state, config, traffic) {
+            (Ok(state), Ok(config), Ok(traffic)) => {
+                let dump = json!({ "state": *state, "config": *config, "peers": traffic });
+                page(StatusCode::OK, &dump)
             }
             _ => gone(),
         }
--- a/crates/entry/src/admin/listing.rs
+++ b/crates/entry/src/admin/listing.rs
@@ -214,14 +214,21 @@
 fn entries(filter: &Filter<'_>, state: &State) -> Table {
     let roster = state.engine.roster.iter().flat_map(|roster| roster.members.values());
     let rows = roster.filter(|member| filter.fits_domain(&member.domain)).map(|member| {
+        let known = state.engine.members.get(&member.ident);
+        let (standing, in_force) = match known {
+            Some(known) => (known.state.name(), known.config),
+            None => ("this one", state.engine.number),
+        };
         vec![
             member.name.clone(),
+            standing.into(),
+            in_force.to_string(),
             member.domain.clone(),
             member.caller.to_string(),
             member.peer.to_string(),
         ]
     });
-    table(&["entry", "domain", "callers", "peers"], rows)
+    table(&["entry", "state", "in_force", "domain", "callers", "peers"], rows)
 }
 
 fn why_upstream(name: &str, config: &Config, state: &State) -> Result<Table, Missing> {
--- a/crates/entry/src/admin/meter.rs
+++ b/crates/entry/src/admin/meter.rs
@@ -7,6 +7,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusRecorder};
 use policy::upstream;
 
+use crate::peers::Traffic;
 use crate::steer::State;
 
 /// Metrics of one entry, taken from its state when they are read.
@@ -27,12 +28,23 @@
 
     /// Returns the metrics as text for a scraper.
     #[must_use]
-    pub fn render(&self, state: &State) -> String {
-        with_local_recorder(&*self.recorder, || record(state));
+    pub fn render(&self, state: &State, traffic: &Traffic) -> String {
+        with_local_recorder(&*self.recorder, || {
+            record(state);
+            record_traffic(traffic);
+        });
         self.recorder.handle().render()
     }
 }
 
+fn record_traffic(traffic: &Traffic) {
+    counter!("nutmegwharf_peer_frames_sent_total").absolute(traffic.frames_out);
+    counter!("nutmegwharf_peer_bytes_sent_total").absolute(traffic.bytes_out);
+    counter!("nutmegwharf_peer_frames_received_total").absolute(traffic.frames_in);
+    counter!("nutmegwharf_peer_bytes_received_total").absolute(traffic.bytes_in);
+    counter!("nutmegwharf_peer_frames_dropped_total").absolute(traffic.dropped);
+}
+
 fn record(state: &State) {
     let stats = &state.engine.stats;
     counter!("nutmegwharf_requests_total").absolute(stats.requests);
--- a/crates/entry/src/bin/nutmegwharfd.rs
+++ b/crates/entry/src/bin/nutmegwharfd.rs
@@ -63,10 +63,18 @@
 async fn serve(settings: Settings) -> Result<ExitCode, Fault> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let handle = entry::start(settings).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => {
+                if let Err(fault) = handle.rotate().await {
+                    log::error!("event=keys_not_rotated error=\"{fault}\"");
+                }
+            }
+        }
     }
     log::info!("event=stopping");
     let cut = tokio::select! {
--- /dev/null
+++ b/crates/entry/src/contact.rs
@@ -0,0 +1,133 @@
+//! The task that confirms the roster with the store and writes new ones.
+
+use model::document;
+use policy::engine::Input;
+use policy::roster::{Roster, SCHEMA};
+use rand::RngExt;
+use store::{CONFIG, Error, Put, ROSTER, Store};
+use xtra::prelude::*;
+
+use crate::clock::Clock;
+use crate::keeper::{Keeper, Seen};
+use crate::steer::{Feed, Steer};
+
+/// The task's state.
+#[derive(xtra::Actor)]
+pub struct Contact<S: Store> {
+    store: S,
+    clock: Clock,
+    steer: Address<Steer>,
+    keeper: Address<Keeper<S>>,
+    roster: Roster,
+    roster_version: u64,
+    config_version: u64,
+}
+
+/// Asks the store what is current.
+#[derive(Debug)]
+pub struct Confirm;
+
+/// Writes a roster if the store has the one with the number before.
+#[derive(Debug)]
+pub struct Propose(pub Roster);
+
+impl<S: Store> Contact<S> {
+    /// Makes the task's state.
+    pub fn new(store: S, clock: Clock, steer: Address<Steer>, keeper: Address<Keeper<S>>) -> Self {
+        Self {
+            store,
+            clock,
+            steer,
+            keeper,
+            roster: Roster::default(),
+            roster_version: 0,
+            config_version: 0,
+        }
+    }
+
+    /// Reads the versions of all objects in one call and then only what has changed.
+    async fn confirm(&mut self) -> Result<(), Error> {
+        let asked_at = self.clock.moment();
+        let versions = self.store.list("").await?;
+        let version = |name: &str| {
+            versions.iter().find(|(one, _)| one == name).map_or(0, |(_, version)| *version)
+        };
+        let (roster, config) = (version(ROSTER), version(CONFIG));
+        if roster > self.roster_version {
+            self.read_roster().await?;
+        }
+        // The store has this roster, or a newer one if it was written meanwhile.
+        let input = Input::Roster { asked_at, roster: self.roster.clone() };
+        let _ = self.steer.send(Feed(input)).await;
+        if config > self.config_version {
+            self.read_config().await?;
+        }
+        Ok(())
+    }
+
+    async fn read_roster(&mut self) -> Result<(), Error> {
+        let Some(object) = self.store.get(ROSTER).await? else { return Ok(()) };
+        match document::decode::<Roster>(&object.bytes, SCHEMA) {
+            Ok(roster) => {
+                self.roster = roster;
+                self.roster_version = object.version;
+            }
+            Err(fault) => log::error!("event=roster_unreadable error=\"{fault}\""),
+        }
+        Ok(())
+    }
+
+    async fn read_config(&mut self) -> Result<(), Error> {
+        let Some(object) = self.store.get(CONFIG).await? else { return Ok(()) };
+        self.config_version = object.version;
+        let _ = self.keeper.send(Seen(object.bytes)).await;
+        Ok(())
+    }
+
+    async fn propose(&mut self, next: Roster) -> Result<(), Error> {
+        self.read_roster().await?;
+        if self.roster.number + 1 != next.number {
+            return Ok(());
+        }
+        let put = Put {
+            name: ROSTER.into(),
+            expected: self.roster_version,
+            write: rand::rng().random(),
+            bytes: serde_json::to_vec(&next).unwrap_or_default(),
+        };
+        match self.store.put(put).await {
+            Ok(_) => {
+                log::info!("event=roster_written number={}", next.number);
+                Ok(())
+            }
+            // Another member was faster; its roster is read below.
+            Err(Error::Conflict { .. }) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+impl<S: Store> Handler<Confirm> for Contact<S> {
+    type Return = ();
+
+    async fn handle(&mut self, _: Confirm, _: &mut Context<Self>) {
+        if let Err(error) = self.confirm().await {
+            log::warn!("event=roster_not_confirmed error=\"{error}\"");
+        }
+    }
+}
+
+impl<S: Store> Handler<Propose> for Contact<S> {
+    type Return = ();
+
+    async fn handle(&mut self, propose: Propose, _: &mut Context<Self>) {
+        let proposed = self.propose(propose.0).await;
+        let confirmed = match proposed {
+            Ok(()) => self.confirm().await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = confirmed {
+            log::warn!("event=roster_not_written error=\"{error}\"");
+        }
+    }
+}
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -30,13 +30,13 @@
 const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 nutmegwharf");
 
 /// Sends a message without waiting for it to be handled.
-pub fn post<M>(steer: &Address<Steer>, message: M)
+pub fn post<A, M>(actor: &Address<A>, message: M)
 where
     M: Send + 'static,
-    Steer: Handler<M>,
+    A: Handler<M>,
 {
     // The mailbox is unbounded, so the first poll puts the message into it.
-    let mut sending = pin!(steer.send(message).detach());
+    let mut sending = pin!(actor.send(message).detach());
     let _ = sending.as_mut().poll(&mut Context::from_waker(Waker::noop()));
 }
 
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -43,6 +43,10 @@
 #[derive(Debug)]
 pub struct Seen(pub Vec<u8>);
 
+/// Asks for the newest configuration known, in the form in which the store holds it.
+#[derive(Debug)]
+pub struct Encoded;
+
 /// Asks for the newest configuration known.
 #[derive(Debug)]
 pub struct Current;
@@ -219,3 +223,11 @@
         Arc::clone(&self.config)
     }
 }
+
+impl<S: Store> Handler<Encoded> for Keeper<S> {
+    type Return = Option<Vec<u8>>;
+
+    async fn handle(&mut self, _: Encoded, _: &mut Context<Self>) -> Option<Vec<u8>> {
+        (self.config.number > 0).then(|| self.config.encode())
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod admin;
 pub mod clock;
+pub mod contact;
 pub mod front;
 pub mod header;
 pub mod keeper;
 pub mod logs;
+pub mod peers;
 pub mod run;
 pub mod settings;
 pub mod steer;
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,310 @@
+//! The task that owns the endpoint to other entries and knows their addresses.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use peer::{Envelope, Incoming, Keys, Outgoing, encode};
+use policy::engine::Input;
+use policy::message::Frame;
+use policy::roster::Roster;
+use quinn::Endpoint;
+use rand::RngExt;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+use xtra::prelude::*;
+
+use crate::keeper::{Encoded, Keeper, Seen};
+use crate::steer::{Feed, Steer};
+
+/// Frames that wait for one peer; more are dropped, as gossip repeats itself.
+const MOST_WAITING: usize = 256;
+/// Time to open a connection.
+const OPEN_TIME: Duration = Duration::from_secs(2);
+/// Pause after a connection that could not be opened.
+const OPEN_PAUSE: Duration = Duration::from_millis(300);
+/// Connections that peers may have open.
+const MOST_INCOMING: usize = 1_024;
+
+/// The task's state.
+#[derive(xtra::Actor)]
+pub struct Peers {
+    me: u64,
+    own: SocketAddr,
+    endpoint: Endpoint,
+    bootstrap: Vec<SocketAddr>,
+    addresses: BTreeMap<u64, SocketAddr>,
+    links: BTreeMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
+    tasks: JoinSet<()>,
+    steer: Address<Steer>,
+    keeper: Address<Keeper<store::Http>>,
+    traffic: Traffic,
+}
+
+/// Frames and bytes since the start, without what QUIC and below add.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Traffic {
+    /// Frames sent.
+    pub frames_out: u64,
+    /// Bytes sent.
+    pub bytes_out: u64,
+    /// Frames received.
+    pub frames_in: u64,
+    /// Bytes received.
+    pub bytes_in: u64,
+    /// Frames dropped because a peer could not take them.
+    pub dropped: u64,
+}
+
+/// Sends a frame to a member.
+#[derive(Debug)]
+pub struct Deliver {
+    /// The member's identity.
+    pub to: u64,
+    /// The frame.
+    pub frame: Frame,
+}
+
+/// Sends a frame to one address of the settings.
+#[derive(Debug)]
+pub struct Hail(pub Frame);
+
+/// Tells which members there are.
+#[derive(Debug)]
+pub struct Members(pub Roster);
+
+/// A frame has come.
+#[derive(Debug)]
+pub struct Arrived {
+    /// The sender's identity.
+    pub from: u64,
+    /// Where the sender takes connections.
+    pub address: SocketAddr,
+    /// The frame.
+    pub frame: Frame,
+    /// Its size in bytes.
+    pub size: usize,
+}
+
+/// Uses new keys for connections from now on.
+#[derive(Debug)]
+pub struct Rotate(pub Keys);
+
+/// Asks for the traffic.
+#[derive(Debug)]
+pub struct Measure;
+
+impl Peers {
+    /// Makes the task's state around an open endpoint.
+    #[must_use]
+    pub fn new(
+        me: u64,
+        own: SocketAddr,
+        endpoint: Endpoint,
+        bootstrap: Vec<SocketAddr>,
+        steer: Address<Steer>,
+        keeper: Address<Keeper<store::Http>>,
+    ) -> Self {
+        Self {
+            me,
+            own,
+            endpoint,
+            bootstrap,
+            addresses: BTreeMap::new(),
+            links: BTreeMap::new(),
+            tasks: JoinSet::new(),
+            steer,
+            keeper,
+            traffic: Traffic::default(),
+        }
+    }
+
+    fn send(&mut self, address: SocketAddr, frame: Frame) {
+        let bytes = match encode(&Envelope::Frame(frame)) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("event=frame_not_encoded error=\"{error}\"");
+                return;
+            }
+        };
+        let size = bytes.len() as u64;
+        let sent = self.link(address).try_send(bytes).is_ok();
+        if sent {
+            self.traffic.frames_out += 1;
+            self.traffic.bytes_out += size;
+        } else {
+            self.traffic.dropped += 1;
+        }
+    }
+
+    fn link(&mut self, address: SocketAddr) -> &mpsc::Sender<Vec<u8>> {
+        let (endpoint, me, own) = (self.endpoint.clone(), self.me, self.own);
+        let tasks = &mut self.tasks;
+        self.links.entry(address).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(MOST_WAITING);
+            tasks.spawn(write(endpoint, address, me, own, receiver));
+            sender
+        })
+    }
+}
+
+impl Handler<Deliver> for Peers {
+    type Return = ();
+
+    async fn handle(&mut self, deliver: Deliver, _: &mut Context<Self>) {
+        if let Some(address) = self.addresses.get(&deliver.to).copied() {
+            self.send(address, deliver.frame);
+        }
+    }
+}
+
+impl Handler<Hail> for Peers {
+    type Return = ();
+
+    async fn handle(&mut self, hail: Hail, _: &mut Context<Self>) {
+        let others: Vec<_> = self.bootstrap.iter().filter(|one| **one != self.own).collect();
+        if !others.is_empty() {
+            let address = *others[rand::rng().random_range(0..others.len())];
+            self.send(address, hail.0);
+        }
+    }
+}
+
+impl Handler<Members> for Peers {
+    type Return = ();
+
+    async fn handle(&mut self, members: Members, _: &mut Context<Self>) {
+        let named = members.0.members.into_values();
+        self.addresses = named.map(|member| (member.ident, member.peer)).collect();
+        let known: Vec<SocketAddr> = self.addresses.values().copied().collect();
+        // A link whose sender is gone ends its task.
+        self.links.retain(|address, _| known.contains(address) || self.bootstrap.contains(address));
+    }
+}
+
+impl Handler<Arrived> for Peers {
+    type Return = ();
+
+    async fn handle(&mut self, arrived: Arrived, _: &mut Context<Self>) {
+        let Arrived { from, address, frame, size } = arrived;
+        self.traffic.frames_in += 1;
+        self.traffic.bytes_in += size as u64;
+        // A joiner is not named by the roster, and still needs answers.
+        self.addresses.entry(from).or_insert(address);
+        match frame {
+            Frame::Fetch => {
+                if let Ok(Some(bytes)) = self.keeper.send(Encoded).await {
+                    self.send(address, Frame::Config(bytes));
+                }
+            }
+            Frame::Config(bytes) => {
+                let _ = self.keeper.send(Seen(bytes)).detach().await;
+            }
+            frame => {
+                let _ = self.steer.send(Feed(Input::Peer { from, frame })).detach().await;
+            }
+        }
+    }
+}
+
+impl Handler<Rotate> for Peers {
+    type Return = ();
+
+    async fn handle(&mut self, rotate: Rotate, _: &mut Context<Self>) {
+        self.endpoint.set_server_config(Some(rotate.0.server));
+        self.endpoint.set_default_client_config(rotate.0.client);
+        // Every link opens anew with the new keys.
+        self.links.clear();
+    }
+}
+
+impl Handler<Measure> for Peers {
+    type Return = Traffic;
+
+    async fn handle(&mut self, _: Measure, _: &mut Context<Self>) -> Traffic {
+        self.traffic
+    }
+}
+
+/// Writes frames to one peer, opening a connection whenever there is none.
+async fn write(
+    endpoint: Endpoint,
+    address: SocketAddr,
+    me: u64,
+    own: SocketAddr,
+    mut frames: mpsc::Receiver<Vec<u8>>,
+) {
+    let mut link: Option<Outgoing> = None;
+    while let Some(frame) = frames.recv().await {
+        let mut open = match link.take() {
+            Some(open) => open,
+            None => match timeout(OPEN_TIME, Outgoing::open(&endpoint, address, me, own)).await {
+                Ok(Ok(open)) => open,
+                Ok(Err(error)) => {
+                    log::debug!("event=peer_unreachable peer={address} error=\"{error}\"");
+                    tokio::time::sleep(OPEN_PAUSE).await;
+                    drain(&mut frames);
+                    continue;
+                }
+                Err(_) => {
+                    log::debug!("event=peer_silent peer={address}");
+                    drain(&mut frames);
+                    continue;
+                }
+            },
+        };
+        match timeout(OPEN_TIME, open.send(&frame)).await {
+            Ok(Ok(())) => link = Some(open),
+            Ok(Err(error)) => log::debug!("event=peer_lost peer={address} error=\"{error}\""),
+            Err(_) => log::debug!("event=peer_blocked peer={address}"),
+        }
+    }
+}
+
+/// Drops frames that were meant for a moment that has passed.
+fn drain(frames: &mut mpsc::Receiver<Vec<u8>>) {
+    while frames.try_recv().is_ok() {}
+}
+
+/// Accepts connections of peers and passes on their frames.
+pub async fn accept(endpoint: Endpoint, peers: Address<Peers>) {
+    let mut readers = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = readers.join_next() => {}
+            incoming = endpoint.accept(), if readers.len() < MOST_INCOMING => {
+                let Some(incoming) = incoming else { return };
+                readers.spawn(read(incoming, peers.clone()));
+            }
+        }
+    }
+}
+
+async fn read(incoming: quinn::Incoming, peers: Address<Peers>) {
+    let mut incoming = match timeout(OPEN_TIME, Incoming::accept(incoming)).await {
+        Ok(Ok(incoming)) => incoming,
+        Ok(Err(error)) => {
+            log::warn!("event=peer_refused error=\"{error}\"");
+            return;
+        }
+        Err(_) => return,
+    };
+    let hello = incoming.hello;
+    loop {
+        match incoming.receive().await {
+            Ok((Envelope::Frame(frame), size)) => {
+                let arrived = Arrived { from: hello.ident, address: hello.address, frame, size };
+                if peers.send(arrived).await.is_err() {
+                    return;
+                }
+            }
+            Ok((Envelope::Hello(_), _)) => {}
+            Err(error) => {
+                log::debug!("event=peer_ended peer={} error=\"{error}\"", hello.address);
+                return;
+            }
+        }
+    }
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
+use peer::{Keys, Material};
 use policy::balance::Least;
 use policy::engine::Input;
-use policy::roster::{self, Member, Roster};
+use policy::roster::{self, Member};
 use policy::{Charts, Engine, charts};
-use store::{CONFIG, Http, Put, ROSTER, Store};
+use store::Http;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -16,26 +17,37 @@
 
 use crate::admin::{self, Admin, Metrics};
 use crate::clock::{Clock, unix_ms};
+use crate::contact::Contact;
 use crate::front::{self, Front};
-use crate::keeper::{Keeper, Seen};
-use crate::settings::Settings;
-use crate::steer::{Feed, Inspect, Steer, Tick};
+use crate::keeper::Keeper;
+use crate::peers::{self, Peers, Rotate};
+use crate::settings::{self, Settings, Source};
+use crate::steer::{Connect, Feed, Inspect, Steer, Tick, Ways};
 
 /// Time between ticks of the decisions.
 const TICK: Duration = Duration::from_millis(20);
-/// Time for which one watch of the store waits.
-const WATCH: Duration = Duration::from_secs(10);
-/// Pause after a failed call of the store.
-const STORE_PAUSE: Duration = Duration::from_millis(500);
-/// Time between confirmations of the roster.
-const CONFIRM: Duration = Duration::from_secs(1);
-
 /// An entry that cannot start.
 #[derive(Debug, Display, Error, From)]
 pub enum Fault {
     /// A chart does not fit.
     #[display("{_0}")]
     Chart(charts::Fault),
+    /// A key does not fit.
+    #[display("{_0}")]
+    Keys(peer::KeyError),
+    /// A file with key material cannot be read.
+    #[display("{}: {cause}", path.display())]
+    #[from(skip)]
+    KeyFile {
+        /// The file.
+        path: std::path::PathBuf,
+        /// The system's account.
+        #[error(source)]
+        cause: std::io::Error,
+    },
+    /// The endpoint for peers cannot be opened.
+    #[display("{_0}")]
+    Peers(peer::LinkError),
     /// An address cannot be listened on.
     #[display("cannot listen on {address}: {cause}")]
     #[from(skip)]
@@ -52,64 +64,145 @@
 #[derive(Debug)]
 pub struct Handle {
     steer: Address<Steer>,
+    peers: Address<Peers>,
     stop: watch::Sender<bool>,
     front: JoinHandle<()>,
     /// Ends with the handle, and its tasks with it.
     _tasks: JoinSet<()>,
-    stop_time: Duration,
+    settings: Settings,
 }
 
 /// Starts the tasks of an entry.
 ///
 /// # Errors
 ///
-/// Returns an error if a chart does not fit or an address cannot be listened on.
+/// Returns an error if a chart or a key does not fit or an address cannot be listened on.
 pub async fn start(settings: Settings) -> Result<Handle, Fault> {
     let charts = Charts::load()?;
+    let keys = settings.keys.as_ref().map(read_keys).transpose()?;
     let callers = listen(settings.listen.callers).await?;
     let operators = listen(settings.listen.operators).await?;
     let clock = Clock::default();
     let me = roster::ident(&settings.name, unix_ms());
-    let engine = Engine::new(charts, me, settings.domain.as_str(), me, Least);
-    let mut tasks = JoinSet::new();
+    let mut engine = Engine::new(charts, me, settings.domain.as_str(), me, Least);
+    engine.join(member(&settings, me));
 
+    let mut tasks = JoinSet::new();
     let (steer, mailbox) = Mailbox::unbounded();
     tasks.spawn(xtra::run(mailbox, Steer::new(engine, clock)));
     let (keeper, mailbox) = Mailbox::unbounded();
     let store = || Http::new(settings.store.address, settings.store.patience);
     tasks.spawn(xtra::run(mailbox, Keeper::new(store(), steer.clone())));
-
+    let (contact, mailbox) = Mailbox::unbounded();
+    let state = Contact::new(store(), clock, steer.clone(), keeper.clone());
+    tasks.spawn(xtra::run(mailbox, state));
+    let peers = start_peers(&settings, keys, me, &steer, &keeper, &mut tasks)?;
+    let ways = Ways { peers: peers.clone(), contact };
+    // The decisions' task runs by now, so this cannot fail.
+    let _ = steer.send(Connect(ways)).await;
     tasks.spawn(tick(steer.clone()));
-    tasks.spawn(watch_config(store(), keeper.clone()));
-    let member = Member {
-        ident: me,
-        name: settings.name.clone(),
-        domain: settings.domain.clone(),
-        peer: settings.listen.peers,
-        caller: settings.listen.callers,
-    };
-    tasks.spawn(confirm_roster(store(), steer.clone(), clock, member));
 
-    let meter = Metrics::new(&settings.name);
-    let admin = Admin { steer: steer.clone(), keeper, operators: settings.operators.into(), meter };
+    let admin = Admin {
+        steer: steer.clone(),
+        keeper,
+        peers: peers.clone(),
+        operators: settings.operators.clone().into(),
+        meter: Metrics::new(&settings.name),
+    };
     tasks.spawn(admin::accept(admin, operators));
 
     let (stop, stopping) = watch::channel(false);
     let front = Front { steer: steer.clone(), clock, limits: Arc::new(settings.limits) };
     let front = tokio::spawn(front::accept(front, callers, stopping));
     log::info!("event=started name={} callers={}", settings.name, settings.listen.callers);
-    let stop_time = settings.limits.stop_time;
-    Ok(Handle { steer, stop, front, _tasks: tasks, stop_time })
+    Ok(Handle { steer, peers, stop, front, _tasks: tasks, settings })
+}
+
+fn member(settings: &Settings, ident: u64) -> Member {
+    Member {
+        ident,
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        peer: settings.listen.peers,
+        caller: settings.listen.callers,
+    }
+}
+
+fn read_keys(keys: &settings::Keys) -> Result<Keys, Fault> {
+    let material = Material {
+        authority: read_source(&keys.authority)?,
+        certificate: read_source(&keys.certificate)?,
+        key: read_source(&keys.key)?,
+    };
+    Ok(Keys::read(&material)?)
+}
+
+fn read_source(source: &Source) -> Result<String, Fault> {
+    match source {
+        Source::Inline(text) => Ok(text.clone()),
+        Source::File(path) => std::fs::read_to_string(path)
+            .map_err(|cause| Fault::KeyFile { path: path.clone(), cause }),
+    }
+}
+
+/// Starts the tasks that talk with peers.
+///
+/// Without keys the endpoint has material that no other member trusts, so the entry is alone.
+fn start_peers(
+    settings: &Settings,
+    keys: Option<Keys>,
+    me: u64,
+    steer: &Address<Steer>,
+    keeper: &Address<Keeper<Http>>,
+    tasks: &mut JoinSet<()>,
+) -> Result<Address<Peers>, Fault> {
+    let keys = match keys {
+        Some(keys) => keys,
+        None => Keys::read(&peer::issue(1)?[0])?,
+    };
+    let own = settings.listen.peers;
+    let endpoint = peer::endpoint(own, &keys)?;
+    let (peers, mailbox) = Mailbox::unbounded();
+    let state = Peers::new(
+        me,
+        own,
+        endpoint.clone(),
+        settings.peers.clone(),
+        steer.clone(),
+        keeper.clone(),
+    );
+    tasks.spawn(xtra::run(mailbox, state));
+    tasks.spawn(peers::accept(endpoint, peers.clone()));
+    Ok(peers)
 }
 
 impl Handle {
-    /// Stops the entry: no new connections, calls in progress end, then the tasks end.
+    /// Reads the key material again and uses it for new connections between entries.
+    ///
+    /// # Errors
     ///
-    /// Returns the number of calls that were cut because the time for stopping was over.
+    /// Returns an error if the material cannot be used; the old one stays in use then.
+    pub async fn rotate(&self) -> Result<(), Fault> {
+        let Some(keys) = &self.settings.keys else { return Ok(()) };
+        let keys = read_keys(keys)?;
+        // The task ends only with the process.
+        let _ = self.peers.send(Rotate(keys)).await;
+        log::info!("event=keys_rotated");
+        Ok(())
+    }
+
+    /// Stops the entry gracefully.
+    ///
+    /// First peers and callers' answers leave it out; once the answers that callers keep are over
+    /// it takes no new connections, lets calls in progress end, and ends its tasks. Returns the
+    /// number of calls that were cut because the time for stopping was over.
     pub async fn stop(mut self) -> usize {
+        let limits = self.settings.limits;
+        let _ = self.steer.send(Feed(Input::Leave)).await;
+        tokio::time::sleep(limits.resolve_time).await;
         // The receiver lives in the front's task, which may have ended already.
         let _ = self.stop.send(true);
-        let ended = tokio::time::timeout(self.stop_time, &mut self.front).await;
+        let ended = tokio::time::timeout(limits.stop_time, &mut self.front).await;
         let _ = self.steer.send(Feed(Input::Stop)).await;
         let cut = match ended {
             Ok(_) => 0,
@@ -137,59 +230,3 @@
         }
     }
 }
-
-/// Passes on each new configuration of the store.
-async fn watch_config<S: Store>(mut store: S, keeper: Address<Keeper<S>>) {
-    let mut after = 0;
-    loop {
-        match store.watch(CONFIG, after, WATCH).await {
-            Ok(Some(object)) => {
-                after = object.version;
-                if keeper.send(Seen(object.bytes)).await.is_err() {
-                    return;
-                }
-            }
-            Ok(None) => {}
-            Err(error) => {
-                log::warn!("event=watch_failed error=\"{error}\"");
-                tokio::time::sleep(STORE_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Confirms the roster again and again, and enters this member if it is missing.
-async fn confirm_roster<S: Store>(
-    mut store: S,
-    steer: Address<Steer>,
-    clock: Clock,
-    member: Member,
-) {
-    loop {
-        let asked_at = clock.moment();
-        match confirm(&mut store, &member).await {
-            Ok(roster) => {
-                if steer.send(Feed(Input::Roster { asked_at, roster })).await.is_err() {
-                    return;
-                }
-            }
-            Err(error) => log::warn!("event=roster_not_confirmed error=\"{error}\""),
-        }
-        tokio::time::sleep(CONFIRM).await;
-    }
-}
-
-async fn confirm<S: Store>(store: &mut S, member: &Member) -> Result<Roster, store::Error> {
-    let object = store.get(ROSTER).await?;
-    let version = object.as_ref().map_or(0, |object| object.version);
-    let known = object.and_then(|object| serde_json::from_slice(&object.bytes).ok());
-    let known: Roster = known.unwrap_or_default();
-    if known.members.contains_key(&member.ident) {
-        return Ok(known);
-    }
-    let next = known.with(member.clone());
-    let bytes = serde_json::to_vec(&next).unwrap_or_default();
-    let write = member.ident;
-    store.put(Put { name: ROSTER.into(), expected: version, write, bytes }).await?;
-    Ok(next)
-}
--- a/crates/entry/src/steer.rs
+++ b/crates/entry/src/steer.rs
@@ -14,7 +14,10 @@
 use xtra::prelude::*;
 
 use crate::clock::Clock;
+use crate::contact::{Confirm, Contact, Propose};
+use crate::front::post;
 use crate::idle::{Idle, Link};
+use crate::peers::{Deliver, Hail, Members, Peers};
 
 /// Ticks between sweeps of idle connections.
 const SWEEP_TICKS: u32 = 50;
@@ -30,8 +33,21 @@
     next: u64,
     ticks: u32,
     out: Vec<Output>,
+    ways: Option<Ways>,
+    roster: u64,
 }
 
+/// Ways to the tasks that talk with peers and with the store.
+pub struct Ways {
+    /// To the peers.
+    pub peers: Address<Peers>,
+    /// To the store.
+    pub contact: Address<Contact<store::Http>>,
+}
+
+/// Gives the task its ways to others.
+pub struct Connect(pub Ways);
+
 /// What the front has to do with a request.
 #[derive(Debug)]
 pub enum Directive {
@@ -167,6 +183,8 @@
             next: 0,
             ticks: 0,
             out: Vec::new(),
+            ways: None,
+            roster: 0,
         }
     }
 
@@ -177,6 +195,19 @@
             self.carry_out(now, output);
         }
         self.out = out;
+        self.tell_members();
+    }
+
+    /// Tells the task that owns the endpoint of a new roster.
+    fn tell_members(&mut self) {
+        let tenure = self.engine.tenure();
+        if tenure.number() == self.roster {
+            return;
+        }
+        self.roster = tenure.number();
+        if let (Some(ways), Some(roster)) = (&self.ways, tenure.roster()) {
+            post(&ways.peers, Members(roster.clone()));
+        }
     }
 
     fn carry_out(&mut self, now: Now, output: Output) {
@@ -194,7 +225,26 @@
                 self.reply(token, Directive::Refuse { refusal, outcome, retry_after });
             }
             Output::Pass { token } => self.reply(token, Directive::Pass),
-            Output::Send { .. } | Output::Spread(_) => {}
+            Output::Send { to, frame } => {
+                if let Some(ways) = &self.ways {
+                    post(&ways.peers, Deliver { to, frame });
+                }
+            }
+            Output::Hail { frame } => {
+                if let Some(ways) = &self.ways {
+                    post(&ways.peers, Hail(frame));
+                }
+            }
+            Output::Confirm => {
+                if let Some(ways) = &self.ways {
+                    post(&ways.contact, Confirm);
+                }
+            }
+            Output::Propose(roster) => {
+                if let Some(ways) = &self.ways {
+                    post(&ways.contact, Propose(roster));
+                }
+            }
         }
     }
 
@@ -285,6 +335,14 @@
     }
 }
 
+impl Handler<Connect> for Steer {
+    type Return = ();
+
+    async fn handle(&mut self, connect: Connect, _: &mut Context<Self>) {
+        self.ways = Some(connect.0);
+    }
+}
+
 impl Handler<Left> for Steer {
     type Return = ();
 
--- /dev/null
+++ b/crates/peer/src/keys.rs
@@ -0,0 +1,142 @@
+//! Keys by which members of a deployment know each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error as StdError, From};
+use quinn::crypto::rustls::{NoInitialCipherSuite, QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use rustls::RootCertStore;
+use rustls::pki_types::pem::{Error as PemError, PemObject};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::{VerifierBuilderError, WebPkiClientVerifier};
+
+/// The name that every member's certificate carries.
+pub const NAME: &str = "member.nutmegwharf";
+/// Silence after which a connection is given up, in milliseconds.
+const IDLE_MS: u32 = 5_000;
+/// Protocol of the connections.
+const PROTOCOL: &[u8] = b"nutmegwharf/1";
+
+/// Key material in PEM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Material {
+    /// Certificates of the authorities that sign members' certificates.
+    pub authority: String,
+    /// This member's certificate.
+    pub certificate: String,
+    /// This member's private key.
+    pub key: String,
+}
+
+/// Keys in the form in which the transport needs them.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    /// For connections that others open.
+    pub server: ServerConfig,
+    /// For connections that this member opens.
+    pub client: ClientConfig,
+}
+
+/// Key material that cannot be used.
+#[derive(Debug, Display, StdError, From)]
+pub enum Error {
+    /// A part is not PEM of the expected kind.
+    #[display("key material is not PEM: {_0}")]
+    Pem(PemError),
+    /// The certificate and the key do not fit.
+    #[display("key material does not fit: {_0}")]
+    Tls(rustls::Error),
+    /// The authority's certificates cannot be used.
+    #[display("authority cannot be used: {_0}")]
+    Authority(VerifierBuilderError),
+    /// The suite for the first packets is missing.
+    #[display("{_0}")]
+    Suite(NoInitialCipherSuite),
+    /// A certificate cannot be issued.
+    #[display("certificate cannot be issued: {_0}")]
+    Issue(rcgen::Error),
+}
+
+impl Keys {
+    /// Reads key material.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first part that cannot be used.
+    pub fn read(material: &Material) -> Result<Self, Error> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let roots = Arc::new(roots(&material.authority)?);
+        let chain = chain(&material.certificate)?;
+        let key = || PrivateKeyDer::from_pem_slice(material.key.as_bytes());
+
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(&provider))
+                .build()?;
+        let mut server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain.clone(), key()?)?;
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
+
+        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key()?)?;
+        client.alpn_protocols = vec![PROTOCOL.to_vec()];
+
+        let transport = Arc::new(transport());
+        let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
+        server.transport_config(Arc::clone(&transport));
+        let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
+        client.transport_config(transport);
+        Ok(Self { server, client })
+    }
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MS))))
+        .max_concurrent_bidi_streams(VarInt::from_u32(0))
+        .max_concurrent_uni_streams(VarInt::from_u32(1))
+        .initial_rtt(Duration::from_millis(5));
+    transport
+}
+
+fn roots(pem: &str) -> Result<RootCertStore, Error> {
+    let mut roots = RootCertStore::empty();
+    for certificate in chain(pem)? {
+        roots.add(certificate)?;
+    }
+    Ok(roots)
+}
+
+fn chain(pem: &str) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let read: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem.as_bytes()).collect();
+    Ok(read?)
+}
+
+/// Issues an authority and the material of `count` members signed by it.
+///
+/// # Errors
+///
+/// Returns an error if a key cannot be made.
+pub fn issue(count: usize) -> Result<Vec<Material>, Error> {
+    let mut params = CertificateParams::new(Vec::new())?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate()?)?;
+    let authority = issuer.pem();
+    let member = |_| {
+        let key = KeyPair::generate()?;
+        let params = CertificateParams::new(vec![NAME.to_owned()])?;
+        let certificate = params.signed_by(&key, &issuer)?;
+        Ok(Material {
+            authority: authority.clone(),
+            certificate: certificate.pem(),
+            key: key.serialize_pem(),
+        })
+    };
+    (0..count).map(member).collect()
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Encoding and transport between entries: postcard frames over QUIC with mutual TLS.
+
+mod codec;
+mod keys;
+mod link;
+
+pub use codec::{Envelope, Error as CodecError, Hello, MOST_FRAME, decode, encode};
+pub use keys::{Error as KeyError, Keys, Material, issue};
+pub use link::{Error as LinkError, Incoming, Outgoing, endpoint};
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -99,7 +99,9 @@
         pub sent_at: Option<Moment>,
         /// Calls estimated at the upstream when it was granted.
         pub ahead: f64,
-        /// Whether it uses a grant of a cold upstream's owner.
+        /// Whether the upstream said that it is in a cold start.
+        pub cold: bool,
+        /// Mark of the grant of a cold upstream's owner, if it uses one.
         pub granted: Option<u64>,
     }
 }
--- a/crates/policy/src/charts.rs
+++ b/crates/policy/src/charts.rs
@@ -3,12 +3,14 @@
 use chart::Chart;
 use derive_more::{Display, Error};
 
-use crate::{attempt, upstream};
+use crate::{attempt, member, upstream};
 
 /// The text of the upstream's chart.
 pub const UPSTREAM: &str = include_str!("../../../charts/upstream.jsonc");
 /// The text of the attempt's chart.
 pub const ATTEMPT: &str = include_str!("../../../charts/attempt.jsonc");
+/// The text of the member's chart.
+pub const MEMBER: &str = include_str!("../../../charts/member.jsonc");
 
 /// A chart that does not fit the code.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -28,6 +30,8 @@
     pub upstream: Chart<upstream::State, upstream::Event, upstream::Action>,
     /// One attempt at a call.
     pub attempt: Chart<attempt::State, attempt::Event, attempt::Action>,
+    /// The life of a member.
+    pub member: Chart<member::State, member::Event, member::Action>,
 }
 
 impl Charts {
@@ -41,6 +45,7 @@
         Ok(Self {
             upstream: Chart::load(UPSTREAM).map_err(fault("upstream"))?,
             attempt: Chart::load(ATTEMPT).map_err(fault("attempt"))?,
+            member: Chart::load(MEMBER).map_err(fault("member"))?,
         })
     }
 }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod cold;
 mod dump;
+mod fleet;
 mod outcome;
 
 use std::collections::BTreeMap;
@@ -19,11 +20,12 @@
 use crate::attempt::{self, Attempt};
 use crate::balance::{Chooser, Least, Report};
 use crate::call::{Call, Outcome, Refusal, Request};
-use crate::message::{Message, News};
+use crate::gossip::Gossip;
+use crate::message::{Frame, Message, News};
 use crate::queue::Queue;
 use crate::quota::Allotment;
 use crate::retry::Budget;
-use crate::roster::{Roster, Tenure};
+use crate::roster::{Member, Roster, Tenure};
 use crate::upstream::{self, Upstream};
 use crate::{Charts, Now};
 
@@ -59,17 +61,19 @@
         /// The roster.
         roster: Roster,
     },
-    /// A message of a peer.
+    /// A frame of a peer.
     Peer {
         /// The peer's identity.
         from: u64,
-        /// The message.
-        message: Message,
+        /// What it sent.
+        frame: Frame,
     },
     /// The platform says that an upstream leaves.
     Leaving(key::Upstream),
     /// Time has passed.
     Tick,
+    /// The entry tells its peers that it leaves.
+    Leave,
     /// The entry takes no more requests.
     Stop,
 }
@@ -109,15 +113,28 @@
         /// The front's mark.
         token: u64,
     },
-    /// A message for a peer.
+    /// A frame for a peer.
     Send {
         /// The peer's identity.
         to: u64,
-        /// The message.
-        message: Message,
+        /// What goes to it.
+        frame: Frame,
     },
-    /// News for every peer.
-    Spread(News),
+    /// A frame for a peer whose address the settings give.
+    Hail {
+        /// What goes to it.
+        frame: Frame,
+    },
+    /// The store has to say which roster is current.
+    Confirm,
+    /// A roster that is to replace the current one, if that has the number before.
+    Propose(Roster),
+}
+
+impl Output {
+    fn message(to: u64, message: Message) -> Self {
+        Self::Send { to, frame: Frame::Message(message) }
+    }
 }
 
 /// Counts since the start.
@@ -161,6 +178,8 @@
     budgets: SecondaryMap<key::Service, Budget>,
     in_progress: SecondaryMap<key::Workspace, u32>,
     tenure: Tenure,
+    gossip: Gossip,
+    fleet: fleet::Fleet,
     allotments: BTreeMap<u64, Allotment>,
     asks: cold::Asks,
     out_domains: Vec<key::Domain>,
@@ -186,6 +205,8 @@
             budgets: SecondaryMap::new(),
             in_progress: SecondaryMap::new(),
             tenure: Tenure::new(me),
+            gossip: Gossip::new(me),
+            fleet: fleet::Fleet::default(),
             allotments: BTreeMap::new(),
             asks: cold::Asks::default(),
             out_domains: Vec::new(),
@@ -198,6 +219,11 @@
         }
     }
 
+    /// Lets the engine talk with the other members of its deployment as `member`.
+    pub fn join(&mut self, member: Member) {
+        self.fleet.member = Some(member);
+    }
+
     /// Takes one input and adds its outputs to `out`.
     pub fn input(&mut self, now: Now, input: Input, out: &mut Vec<Output>) {
         match input {
@@ -208,11 +234,12 @@
             }
             Input::Left(call) => self.leave(now, call, out),
             Input::Roster { asked_at, roster } => self.adopt_roster(now, asked_at, &roster, out),
-            Input::Peer { from, message } => self.peer(now, from, message, out),
+            Input::Peer { from, frame } => self.frame(now, from, frame, out),
             Input::Leaving(upstream) => {
                 self.upstream_event(now, upstream, upstream::Event::Draining, out);
             }
             Input::Tick => self.tick(now, out),
+            Input::Leave => self.fleet.leaving = true,
             Input::Stop => self.stop(now, out),
         }
     }
@@ -292,6 +319,7 @@
             self.upstream_event(now, upstream, upstream::Event::Rested, out);
         }
         self.expire_asks(now);
+        self.tick_fleet(now, out);
         self.drain_queues(now, out);
     }
 
@@ -328,15 +356,15 @@
                 // Odd numbers are cold starts, so the next odd one is a new cold start.
                 upstream.epoch += 1 + upstream.epoch % 2;
                 self.stats.cold_starts += 1;
-                out.push(Output::Spread(News::Thermal { upstream: ident, epoch: upstream.epoch }));
+                self.gossip.spread(News::Thermal { upstream: ident, epoch: upstream.epoch });
                 self.reset_allotment(key);
             }
             upstream::Action::AnnounceWarm => {
                 upstream.epoch += 2 - upstream.epoch % 2;
-                out.push(Output::Spread(News::Thermal { upstream: ident, epoch: upstream.epoch }));
+                self.gossip.spread(News::Thermal { upstream: ident, epoch: upstream.epoch });
             }
             upstream::Action::SpreadDrain => {
-                out.push(Output::Spread(News::Drain { upstream: ident, epoch: upstream.epoch }));
+                self.gossip.spread(News::Drain { upstream: ident, epoch: upstream.epoch });
             }
             upstream::Action::BackOff => upstream.back_off(now.at),
             upstream::Action::ReportDown => self.report_down(now, ident, out),
--- a/crates/policy/src/engine/advise.rs
+++ b/crates/policy/src/engine/advise.rs
@@ -28,6 +28,11 @@
         let Some(roster) = self.tenure.roster() else { return Vec::new() };
         let members: Vec<&Member> = roster.members.values().collect();
         let open = |member: &&&Member| {
+            let known = self.gossip.members().get(&member.ident);
+            let leaves = self.fleet.leaving && member.ident == self.tenure.me();
+            if leaves || known.is_some_and(|known| !known.is_usable()) {
+                return false;
+            }
             let domain = self.catalog.domain(&member.domain);
             domain.is_none_or(|domain| !self.catalog.is_out(domain, now.unix_ms))
         };
--- a/crates/policy/src/engine/calls.rs
+++ b/crates/policy/src/engine/calls.rs
@@ -153,8 +153,16 @@
     ) {
         let ahead = self.upstreams[upstream].gauge.start(now.at);
         let state = self.charts.attempt.initial();
-        let attempt =
-            Attempt { call, upstream, state, start: now.at, sent_at: None, ahead, granted };
+        let attempt = Attempt {
+            call,
+            upstream,
+            state,
+            start: now.at,
+            sent_at: None,
+            ahead,
+            cold: false,
+            granted,
+        };
         let attempt = self.attempts.insert(attempt);
         let call = &mut self.calls[call];
         call.attempts += 1;
--- a/crates/policy/src/engine/cold.rs
+++ b/crates/policy/src/engine/cold.rs
@@ -4,11 +4,12 @@
 
 use base::prelude::*;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 
 use super::{Engine, Output};
 use crate::Now;
 use crate::balance::Chooser;
-use crate::message::{Message, News};
+use crate::message::{Ceded, Message, News};
 use crate::quota::{self, Allotment, GRANT_TERM};
 use crate::roster::Roster;
 use crate::upstream::{Event, State};
@@ -44,36 +45,42 @@
         roster: &Roster,
         out: &mut Vec<Output>,
     ) {
-        if roster.number <= self.tenure.number() {
-            self.tenure.confirm(now.at, asked_at, roster);
-            return;
-        }
-        let held = self.held(now);
-        self.tenure.confirm(now.at, asked_at, roster);
-        for ident in held {
-            let Some(owner) = roster.owner(ident) else { continue };
-            if owner != self.tenure.me() {
-                let message = self.cession(now, roster.number, ident);
-                out.push(Output::Send { to: owner, message });
-            }
+        self.fleet.vacant = roster.number == 0;
+        let longest = self.longest_linger();
+        let Some(cession) = self.tenure.adopt(now.at, asked_at, roster, longest) else { return };
+        self.gossip.keep(now.at, roster.members.keys().copied());
+        let mut rows = self.surrender(now, roster);
+        for to in cession.to {
+            let rows = rows.remove(&to).unwrap_or_default();
+            out.push(Output::message(to, Message::Cede { number: roster.number, rows }));
         }
         self.drain_queues(now, out);
     }
 
-    /// Returns the upstreams that this member may act for.
-    fn held(&self, now: Now) -> Vec<u64> {
-        let upstreams = self.catalog.upstreams.iter();
-        let held = upstreams.filter(|(key, _)| self.may_own(now, *key));
-        held.map(|(_, upstream)| upstream.ident).collect()
+    /// Gives up the state of upstreams that others own now, by their owners.
+    fn surrender(&mut self, now: Now, roster: &Roster) -> BTreeMap<u64, Vec<Ceded>> {
+        let mut rows: BTreeMap<u64, Vec<Ceded>> = BTreeMap::new();
+        let me = self.tenure.me();
+        for (upstream, allotment) in std::mem::take(&mut self.allotments) {
+            match roster.owner(upstream) {
+                Some(owner) if owner != me => {
+                    let open = allotment.out.iter().filter(|(_, grant)| grant.until > now.at);
+                    let out = open.map(|(serial, grant)| (*serial, grant.holder)).collect();
+                    let row = Ceded { upstream, limit: allotment.limit, out };
+                    rows.entry(owner).or_default().push(row);
+                }
+                _ => {
+                    self.allotments.insert(upstream, allotment);
+                }
+            }
+        }
+        rows
     }
 
-    fn cession(&mut self, now: Now, number: u64, upstream: u64) -> Message {
-        let allotment = self.allotments.remove(&upstream);
-        let limit = allotment.as_ref().map_or(0, |allotment| allotment.limit);
-        let grants = allotment.map(|allotment| allotment.out).unwrap_or_default();
-        let open = grants.into_iter().filter(|(_, grant)| grant.until > now.at);
-        let out = open.map(|(serial, grant)| (serial, grant.holder)).collect();
-        Message::Cede { number, upstream, limit, out }
+    /// Returns how long any call or grant may last.
+    fn longest_linger(&self) -> Span {
+        let times = self.catalog.services.values().map(|service| service.timeout);
+        GRANT_TERM + times.max().unwrap_or_default()
     }
 
     /// Tells whether this member may act as the owner of an upstream.
@@ -122,7 +129,9 @@
             self.is_cold(*key) && self.may_own(now, *key) && self.may_go(now, call, *key)
         };
         let owned: Vec<key::Upstream> = upstreams.into_iter().filter(fits).collect();
-        owned.into_iter().find(|key| self.allotment(*key).is_free(now.at))
+        let free: Vec<key::Upstream> =
+            owned.into_iter().filter(|key| self.allotment(*key).is_free(now.at)).collect();
+        free.choose(&mut self.rng).copied()
     }
 
     fn is_cold(&self, key: key::Upstream) -> bool {
@@ -154,7 +163,8 @@
         let open = open.filter(|ask| version.upstreams.contains(&ask.upstream)).count();
         let room = waiting.min(OPEN_ASKS).saturating_sub(open);
         let fits = |key: &&key::Upstream| self.may_ask(now, **key);
-        let targets: Vec<_> = version.upstreams.iter().filter(fits).copied().take(room).collect();
+        let fitting: Vec<_> = version.upstreams.iter().filter(fits).copied().collect();
+        let targets: Vec<_> = fitting.sample(&mut self.rng, room).copied().collect();
         for upstream in targets {
             self.ask(now, upstream, out);
         }
@@ -178,7 +188,7 @@
         let serial = self.next_serial();
         self.stats.asked += 1;
         self.asks.open.insert(serial, Ask { upstream: key, sent: now.at });
-        out.push(Output::Send { to: owner, message: Message::Ask { upstream, serial } });
+        out.push(Output::message(owner, Message::Ask { upstream, serial }));
     }
 
     /// Forgets asks that no answer may come to any more.
@@ -202,15 +212,8 @@
                     self.settled(now, key, serial, result, out);
                 }
             }
-            Message::Cede { number, upstream, limit, out: open } => {
-                self.ceded(now, number, upstream, limit, &open, out);
-            }
-            Message::Down { upstream } => self.told_down(now, upstream, out),
-            Message::News(news) => {
-                for item in news {
-                    self.hear(now, item, out);
-                }
-            }
+            Message::Cede { number, rows } => self.ceded(now, from, number, &rows, out),
+            Message::Down { upstream } => self.told_down(now, upstream),
         }
     }
 
@@ -227,7 +230,7 @@
         } else {
             Message::Deny { upstream, serial }
         };
-        out.push(Output::Send { to: from, message });
+        out.push(Output::message(from, message));
     }
 
     /// Uses a grant for the next waiting call, or gives it back.
@@ -242,7 +245,7 @@
             _ => {
                 let result = quota::Result::Unused;
                 let message = Message::Settle { upstream, serial, result };
-                out.push(Output::Send { to: from, message });
+                out.push(Output::message(from, message));
             }
         }
     }
@@ -274,7 +277,7 @@
         match owner {
             Some(owner) if owner != self.tenure.me() => {
                 let message = Message::Settle { upstream, serial, result };
-                out.push(Output::Send { to: owner, message });
+                out.push(Output::message(owner, message));
             }
             _ => self.settled(now, key, serial, result, out),
         }
@@ -299,86 +302,53 @@
         self.drain_queue(now, service, out);
     }
 
-    fn ceded(
-        &mut self,
-        now: Now,
-        number: u64,
-        upstream: u64,
-        limit: u32,
-        open: &[(u64, u64)],
-        out: &mut Vec<Output>,
-    ) {
-        let Some(key) = self.catalog.upstream_ident(upstream) else { return };
-        if !self.tenure.cede(number, upstream) {
+    fn ceded(&mut self, now: Now, from: u64, number: u64, rows: &[Ceded], out: &mut Vec<Output>) {
+        if !self.tenure.cede(number, from) {
             return;
         }
-        let linger = self.linger(key);
-        let allotment = self.allotment(key);
-        allotment.limit = allotment.limit.max(limit);
-        for (serial, holder) in open {
-            allotment.inherit(now.at, *holder, *serial, linger);
+        for row in rows {
+            let Some(key) = self.catalog.upstream_ident(row.upstream) else { continue };
+            let linger = self.linger(key);
+            let allotment = self.allotment(key);
+            allotment.limit = allotment.limit.max(row.limit);
+            for (serial, holder) in &row.out {
+                allotment.inherit(now.at, *holder, *serial, linger);
+            }
         }
-        let service = self.catalog.upstreams[key].service;
-        self.drain_queue(now, service, out);
+        self.drain_queues(now, out);
     }
 
     /// Tells the owner that connections to its upstream fail.
-    pub(super) fn report_down(&mut self, now: Now, upstream: u64, out: &mut Vec<Output>) {
+    pub(super) fn report_down(&mut self, _now: Now, upstream: u64, out: &mut Vec<Output>) {
         let owner = self.tenure.roster().and_then(|roster| roster.owner(upstream));
         match owner {
             Some(owner) if owner != self.tenure.me() => {
-                out.push(Output::Send { to: owner, message: Message::Down { upstream } });
+                out.push(Output::message(owner, Message::Down { upstream }));
             }
             // The owner's own failed connects are proof enough of a restart to come.
-            Some(_) => self.announce_restart(now, upstream, out),
+            Some(_) => self.announce_restart(upstream),
             None => {}
         }
     }
 
-    fn announce_restart(&mut self, _now: Now, ident: u64, out: &mut Vec<Output>) {
+    fn announce_restart(&mut self, ident: u64) {
         let Some(key) = self.catalog.upstream_ident(ident) else { return };
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         if upstream.epoch % 2 == 0 {
             upstream.epoch += 1;
             self.stats.cold_starts += 1;
-            out.push(Output::Spread(News::Thermal { upstream: ident, epoch: upstream.epoch }));
+            self.gossip.spread(News::Thermal { upstream: ident, epoch: upstream.epoch });
         }
         self.reset_allotment(key);
     }
 
-    /// Checks a peer's report of failed connects by sending the next call there itself.
-    fn told_down(&mut self, now: Now, ident: u64, out: &mut Vec<Output>) {
+    /// Takes a peer's report of failed connects for true if this owner has met some itself.
+    fn told_down(&mut self, now: Now, ident: u64) {
         let Some(key) = self.catalog.upstream_ident(ident) else { return };
         let Some(upstream) = self.upstreams.get(key) else { return };
         let down = upstream.state == State::Down || upstream.refusals > 0;
         if down && self.may_own(now, key) {
-            self.announce_restart(now, ident, out);
-        }
-    }
-
-    /// Takes in news of a peer.
-    fn hear(&mut self, now: Now, news: News, out: &mut Vec<Output>) {
-        match news {
-            News::Thermal { upstream, epoch } => {
-                let Some(key) = self.catalog.upstream_ident(upstream) else { return };
-                if epoch <= self.upstreams[key].epoch {
-                    return;
-                }
-                self.upstreams[key].epoch = epoch;
-                let cold = epoch % 2 == 1;
-                if cold {
-                    self.reset_allotment(key);
-                }
-                let event = if cold { Event::ToldCold } else { Event::ToldWarm };
-                self.upstream_event(now, key, event, out);
-            }
-            News::Drain { upstream, epoch } => {
-                let Some(key) = self.catalog.upstream_ident(upstream) else { return };
-                let known = &self.upstreams[key];
-                if epoch >= known.epoch && known.state != State::Draining {
-                    self.upstream_event(now, key, Event::Draining, out);
-                }
-            }
+            self.announce_restart(ident);
         }
     }
 }
--- a/crates/policy/src/engine/dump.rs
+++ b/crates/policy/src/engine/dump.rs
@@ -8,6 +8,7 @@
 use super::{Engine, Stats};
 use crate::Now;
 use crate::balance::Chooser;
+use crate::member::Member;
 use crate::quota::Allotment;
 use crate::roster::Roster;
 use crate::upstream::State;
@@ -23,6 +24,8 @@
     pub roster: Option<Roster>,
     /// Milliseconds since the roster was last known to be current.
     pub roster_age_ms: u64,
+    /// Other members by identity.
+    pub members: BTreeMap<u64, Member>,
     /// Upstreams by name.
     pub upstreams: BTreeMap<String, Upstream>,
     /// Waiting calls by service.
@@ -76,6 +79,7 @@
             me: self.tenure.me(),
             roster: self.tenure.roster().cloned(),
             roster_age_ms: now.at.since(self.tenure.confirmed_at()).as_millis(),
+            members: self.gossip.members().clone(),
             upstreams: self.catalog.upstreams.keys().map(|key| self.dump_one(now, key)).collect(),
             waiting: waiting.collect(),
             calls: self.calls.len(),
--- /dev/null
+++ b/crates/policy/src/engine/fleet.rs
@@ -0,0 +1,258 @@
+//! Talking with the other members: probes, roster and news.
+
+use base::prelude::*;
+use rand::RngExt;
+
+use super::{Engine, Output};
+use crate::Now;
+use crate::balance::Chooser;
+use crate::member;
+use crate::message::{Digest, Frame, News};
+use crate::roster::{Member, Roster};
+use crate::upstream::{Event, State};
+
+/// Age of the roster's confirmation at which a member asks the store itself.
+const CONFIRM_AGE: Span = Span::millis(1_500);
+/// Random part of that age, so that members do not ask at once.
+const CONFIRM_JITTER: Span = Span::millis(1_000);
+/// Time between asking the store twice.
+const CONFIRM_PAUSE: Span = Span::millis(1_000);
+/// Time after which a joiner that hears of no member enters the roster by itself.
+const ALONE: Span = Span::seconds(30);
+/// Time that each further member waits before it proposes a roster.
+const PROPOSE_STEP: Span = Span::millis(500);
+/// Time between two proposals of one member.
+const PROPOSE_PAUSE: Span = Span::seconds(2);
+
+/// What a member remembers of its dealings with the others.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Fleet {
+    /// This member, if it talks with others.
+    pub member: Option<Member>,
+    /// Members that want to join.
+    joiners: Vec<Member>,
+    /// Whether the store has said that there is no roster.
+    pub vacant: bool,
+    /// Whether some member has answered since the start.
+    heard: bool,
+    /// When this member started.
+    started: Option<Moment>,
+    /// When the store is to be asked at the earliest.
+    confirm_at: Moment,
+    /// When a proposal is to be made at the earliest.
+    propose_at: Option<Moment>,
+    /// Whether this member leaves.
+    pub leaving: bool,
+}
+
+impl<C: Chooser> Engine<C> {
+    /// Takes a frame of a peer.
+    pub(super) fn frame(&mut self, now: Now, from: u64, frame: Frame, out: &mut Vec<Output>) {
+        match frame {
+            Frame::Probe(digest) => {
+                let (sent_at, fresh, known) = (digest.sent_at, digest.fresh, digest.roster);
+                self.take_digest(now, from, digest, out);
+                let mut reply = self.digest(now, sent_at);
+                if known < reply.roster {
+                    reply.newer = self.tenure.roster().cloned().map(Box::new);
+                }
+                if fresh {
+                    reply.news = self.all_news();
+                }
+                out.push(Output::Send { to: from, frame: Frame::Reply(reply) });
+            }
+            Frame::Reply(digest) => self.replied(now, from, digest, out),
+            Frame::Message(message) => self.peer(now, from, message, out),
+            // The configuration in its stored form is kept outside the decisions.
+            Frame::Fetch | Frame::Config(_) => {}
+        }
+    }
+
+    fn replied(&mut self, now: Now, from: u64, digest: Digest, out: &mut Vec<Output>) {
+        self.fleet.heard = true;
+        // The peer answered after the probe was sent, so the roster that it knew was current at
+        // some time after the probe's sending less the age that it told.
+        let asked_at = digest.sent_at - digest.roster_age;
+        let (sent_at, number) = (digest.sent_at, digest.roster);
+        if let Some(newer) = &digest.newer {
+            self.adopt_roster(now, asked_at, newer, out);
+        }
+        self.tenure.confirm_number(asked_at, number);
+        self.tenure.consent(from, sent_at, number);
+        if let Some(member) = self.gossip.member_mut(from) {
+            member.answered_at = now.at;
+        }
+        self.take_digest(now, from, digest, out);
+    }
+
+    /// Takes in what both probes and replies tell.
+    fn take_digest(&mut self, now: Now, from: u64, digest: Digest, out: &mut Vec<Output>) {
+        self.gossip.hear(now.at, &self.charts, &digest.beats);
+        if let Some(member) = self.gossip.member_mut(from) {
+            member.config = member.config.max(digest.config);
+            if digest.leaving {
+                let event = member::Event::Leaving;
+                member.state = self.charts.member.step(member.state, event).next;
+            }
+        }
+        if digest.config > self.catalog.number {
+            out.push(Output::Send { to: from, frame: Frame::Fetch });
+        }
+        if digest.roster > self.tenure.number() {
+            let probe = Frame::Probe(self.digest(now, now.at));
+            out.push(Output::Send { to: from, frame: probe });
+        }
+        if let Some(joiner) = digest.joiner {
+            self.fleet.joiners.retain(|one| one.ident != joiner.ident);
+            self.fleet.joiners.push(*joiner);
+        }
+        for news in digest.news {
+            self.hear(now, news, out);
+        }
+    }
+
+    fn digest(&mut self, now: Now, sent_at: Moment) -> Digest {
+        let (named, leaving) = (self.is_named(), self.fleet.leaving);
+        Digest {
+            sent_at,
+            config: self.catalog.number,
+            roster: self.tenure.number(),
+            roster_age: now.at.since(self.tenure.confirmed_at()),
+            newer: None,
+            joiner: self.fleet.member.clone().filter(|_| !named && !leaving).map(Box::new),
+            fresh: !self.fleet.heard,
+            leaving,
+            beats: self.gossip.beats(),
+            news: self.gossip.take_news(),
+        }
+    }
+
+    /// Tells whether the roster names this member.
+    fn is_named(&self) -> bool {
+        let me = self.tenure.me();
+        self.tenure.roster().is_some_and(|roster| roster.members.contains_key(&me))
+    }
+
+    /// Returns all that a member who has just started has to know of upstreams.
+    fn all_news(&self) -> Vec<News> {
+        let known = self.upstreams.iter().filter_map(|(key, upstream)| {
+            let ident = self.catalog.upstreams.get(key)?.ident;
+            Some((ident, upstream.epoch, upstream.state))
+        });
+        let news = known.filter_map(|(upstream, epoch, state)| match state {
+            State::Draining => Some(News::Drain { upstream, epoch }),
+            _ if epoch > 0 => Some(News::Thermal { upstream, epoch }),
+            _ => None,
+        });
+        news.collect()
+    }
+
+    /// Does what is due in the dealings with the others.
+    pub(super) fn tick_fleet(&mut self, now: Now, out: &mut Vec<Output>) {
+        if self.fleet.member.is_none() {
+            return;
+        }
+        let started = *self.fleet.started.get_or_insert(now.at);
+        self.probe(now, out);
+        self.gossip.age(now.at, &self.charts);
+        self.confirm(now, out);
+        let alone = !self.fleet.heard && now.at.since(started) >= ALONE;
+        self.propose(now, alone, out);
+    }
+
+    fn probe(&mut self, now: Now, out: &mut Vec<Output>) {
+        let targets = self.gossip.round(now.at, &mut self.rng);
+        for to in targets {
+            let frame = Frame::Probe(self.digest(now, now.at));
+            out.push(Output::Send { to, frame });
+        }
+        // One who is not named yet, or who hears of nobody, tries the addresses of its settings.
+        if !self.is_named() && self.tenure.number() == 0 {
+            let frame = Frame::Probe(self.digest(now, now.at));
+            out.push(Output::Hail { frame });
+        }
+    }
+
+    fn confirm(&mut self, now: Now, out: &mut Vec<Output>) {
+        let age = now.at.since(self.tenure.confirmed_at());
+        let unknown = self.tenure.number() == 0;
+        if now.at < self.fleet.confirm_at || (age < CONFIRM_AGE && !unknown) {
+            return;
+        }
+        let jitter = Span(self.rng.random_range(0..CONFIRM_JITTER.0));
+        self.fleet.confirm_at = now.at + CONFIRM_PAUSE + jitter;
+        out.push(Output::Confirm);
+    }
+
+    /// Proposes a roster with the joiners and without the dead, if this member's turn has come.
+    fn propose(&mut self, now: Now, alone: bool, out: &mut Vec<Output>) {
+        let vacant = self.fleet.vacant.then(Roster::default);
+        let Some(roster) = self.tenure.roster().cloned().or(vacant) else { return };
+        let next = if self.is_named() { self.reform(&roster) } else { self.enter(&roster, alone) };
+        let Some(next) = next else {
+            self.fleet.propose_at = None;
+            return;
+        };
+        let wait = PROPOSE_STEP.scale(self.turn(&roster) as f64);
+        let due = *self.fleet.propose_at.get_or_insert(now.at + wait);
+        if now.at >= due {
+            self.fleet.propose_at = Some(now.at + PROPOSE_PAUSE + wait);
+            out.push(Output::Propose(next));
+        }
+    }
+
+    /// Returns the roster that a named member wants, if it differs.
+    fn reform(&mut self, roster: &Roster) -> Option<Roster> {
+        self.fleet.joiners.retain(|one| !roster.members.contains_key(&one.ident));
+        let gone = self.gossip.gone();
+        if gone.is_empty() && self.fleet.joiners.is_empty() {
+            return None;
+        }
+        Some(roster.changed(&gone, &self.fleet.joiners))
+    }
+
+    /// Returns the roster by which a joiner enters by itself: if there is none to let it in.
+    fn enter(&self, roster: &Roster, alone: bool) -> Option<Roster> {
+        let member = self.fleet.member.clone().filter(|_| !self.fleet.leaving)?;
+        let gone: Vec<u64> = roster.members.keys().copied().collect();
+        (gone.is_empty() || alone).then(|| roster.changed(&gone, &[member]))
+    }
+
+    /// Returns how many living members propose before this one.
+    fn turn(&self, roster: &Roster) -> usize {
+        let me = self.tenure.me();
+        let lives = |ident: &u64| {
+            self.gossip.members().get(ident).is_some_and(super::super::member::Member::is_usable)
+        };
+        roster.ranked(roster.number).take_while(|ident| *ident != me).filter(lives).count()
+    }
+
+    /// Takes in news of a peer and passes on what was new.
+    fn hear(&mut self, now: Now, news: News, out: &mut Vec<Output>) {
+        match news {
+            News::Thermal { upstream, epoch } => self.hear_thermal(now, upstream, epoch, out),
+            News::Drain { upstream, epoch } => {
+                let Some(key) = self.catalog.upstream_ident(upstream) else { return };
+                let known = &self.upstreams[key];
+                if epoch >= known.epoch && known.state != State::Draining {
+                    self.upstream_event(now, key, Event::Draining, out);
+                }
+            }
+        }
+    }
+
+    fn hear_thermal(&mut self, now: Now, upstream: u64, epoch: u32, out: &mut Vec<Output>) {
+        let Some(key) = self.catalog.upstream_ident(upstream) else { return };
+        if epoch <= self.upstreams[key].epoch {
+            return;
+        }
+        self.upstreams[key].epoch = epoch;
+        self.gossip.spread(News::Thermal { upstream, epoch });
+        let cold = epoch % 2 == 1;
+        if cold {
+            self.reset_allotment(key);
+        }
+        let event = if cold { Event::ToldCold } else { Event::ToldWarm };
+        self.upstream_event(now, key, event, out);
+    }
+}
--- a/crates/policy/src/engine/outcome.rs
+++ b/crates/policy/src/engine/outcome.rs
@@ -30,6 +30,7 @@
         if attempt.state == State::Sent && attempt.sent_at.is_none() {
             attempt.sent_at = Some(now.at);
         }
+        attempt.cold |= report.is_some_and(|report| report.cold);
         let actions = step.actions.to_vec();
         let attempt = attempt.clone();
         if attempt.state.is_final() {
@@ -37,7 +38,7 @@
             if let Some(upstream) = self.upstreams.get_mut(attempt.upstream) {
                 upstream.gauge.stop();
             }
-            self.settle(now, &attempt, event, report, out);
+            self.settle(now, &attempt, event, out);
         }
         if let Some(report) = report {
             self.take_report(now, attempt.upstream, report, out);
@@ -167,7 +168,7 @@
             if let Some(upstream) = self.upstreams.get_mut(attempt.upstream) {
                 upstream.gauge.stop();
             }
-            self.settle(now, &attempt, Event::Broken, None, out);
+            self.settle(now, &attempt, Event::Broken, out);
         }
     }
 
@@ -223,19 +224,13 @@
     }
 
     /// Tells the owner of a cold upstream how a granted call ended.
-    fn settle(
-        &mut self,
-        now: Now,
-        attempt: &Attempt,
-        event: Event,
-        report: Option<Report>,
-        out: &mut Vec<Output>,
-    ) {
+    fn settle(&mut self, now: Now, attempt: &Attempt, event: Event, out: &mut Vec<Output>) {
         let Some(serial) = attempt.granted else { return };
-        let result = match (event, report) {
-            (_, Some(Report { cold: true, .. })) | (Event::Refused, _) => quota::Result::Cold,
-            (Event::End, _) => quota::Result::Good,
-            (Event::NeverSent | Event::Left, _) => quota::Result::Unused,
+        let result = match event {
+            _ if attempt.cold => quota::Result::Cold,
+            Event::Refused => quota::Result::Cold,
+            Event::End => quota::Result::Good,
+            Event::NeverSent | Event::Left if attempt.sent_at.is_none() => quota::Result::Unused,
             _ => quota::Result::Bad,
         };
         self.settle_grant(now, attempt.upstream, serial, result, out);
--- /dev/null
+++ b/crates/policy/src/gossip.rs
@@ -0,0 +1,181 @@
+//! Spreading news and beats, with a cost for each member that does not grow with the square of
+//! their number.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use crate::Charts;
+use crate::member::{Event, Member, State};
+use crate::message::News;
+
+/// Time between rounds of probes.
+pub const ROUND: Span = Span::millis(200);
+/// Members probed in one round.
+pub const FANOUT: usize = 2;
+/// Time without a higher beat after which a member is suspected.
+pub const QUIET: Span = Span::millis(2_500);
+/// Time without a higher beat after which a member is taken for dead.
+pub const LOST: Span = Span::seconds(6);
+/// News in one digest at the most.
+const MOST_NEWS: usize = 32;
+/// Times that each piece of news is sent for each doubling of the members.
+const REPEATS: u32 = 3;
+
+/// What one member knows of the others, and the news that it passes on.
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    me: u64,
+    beat: u32,
+    members: BTreeMap<u64, Member>,
+    news: Vec<Item>,
+    order: Vec<u64>,
+    round_at: Moment,
+}
+
+/// A piece of news that is being passed on.
+#[derive(Clone, Copy, Debug)]
+struct Item {
+    news: News,
+    left: u32,
+}
+
+impl Gossip {
+    /// Makes the state of the member `me`, which knows no other.
+    #[must_use]
+    pub fn new(me: u64) -> Self {
+        Self {
+            me,
+            beat: 0,
+            members: BTreeMap::new(),
+            news: Vec::new(),
+            order: Vec::new(),
+            round_at: Moment::default(),
+        }
+    }
+
+    /// Returns what is known of the other members.
+    #[must_use]
+    pub fn members(&self) -> &BTreeMap<u64, Member> {
+        &self.members
+    }
+
+    /// Returns what is known of one other member, for changes.
+    pub fn member_mut(&mut self, ident: u64) -> Option<&mut Member> {
+        self.members.get_mut(&ident)
+    }
+
+    /// Makes the known members those that the roster names.
+    pub fn keep(&mut self, now: Moment, named: impl Iterator<Item = u64>) {
+        let mut old = std::mem::take(&mut self.members);
+        for ident in named.filter(|ident| *ident != self.me) {
+            let member = old.remove(&ident).unwrap_or_else(|| Member::unheard(now));
+            self.members.insert(ident, member);
+        }
+    }
+
+    /// Adds news to pass on; news of the same thing that it replaces is dropped.
+    pub fn spread(&mut self, news: News) {
+        self.news.retain(|item| !replaces(&news, &item.news));
+        let others = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        let left = REPEATS * (others + 1).ilog2().max(1);
+        self.news.push(Item { news, left });
+    }
+
+    /// Returns the news for one digest and counts it as sent.
+    pub fn take_news(&mut self) -> Vec<News> {
+        // The least sent first, so that new items overtake old ones.
+        self.news.sort_by_key(|item| std::cmp::Reverse(item.left));
+        let taken = self.news.iter_mut().take(MOST_NEWS).map(|item| {
+            item.left -= 1;
+            item.news
+        });
+        let taken: Vec<News> = taken.collect();
+        self.news.retain(|item| item.left > 0);
+        taken
+    }
+
+    /// Returns the highest beats heard of, with this member's own.
+    #[must_use]
+    pub fn beats(&self) -> Vec<(u64, u32)> {
+        let others = self.members.iter().filter(|(_, member)| member.beat > 0);
+        let mut beats: Vec<_> = others.map(|(ident, member)| (*ident, member.beat)).collect();
+        beats.push((self.me, self.beat));
+        beats
+    }
+
+    /// Takes in beats that another member has heard of.
+    pub fn hear(&mut self, now: Moment, charts: &Charts, beats: &[(u64, u32)]) {
+        for (ident, beat) in beats {
+            let Some(member) = self.members.get_mut(ident) else { continue };
+            if *beat > member.beat {
+                member.beat = *beat;
+                member.heard_at = now;
+                member.state = charts.member.step(member.state, Event::Beat).next;
+            }
+        }
+    }
+
+    /// Starts a round if it is time and returns the members to probe in it.
+    ///
+    /// Targets come in a shuffled order that names each member once before it is shuffled again,
+    /// so that the time between two probes of the same member is bounded.
+    pub fn round(&mut self, now: Moment, rng: &mut impl Rng) -> Vec<u64> {
+        if now < self.round_at {
+            return Vec::new();
+        }
+        self.round_at = now + ROUND;
+        self.beat += 1;
+        let mut targets = Vec::new();
+        while targets.len() < FANOUT.min(self.members.len()) {
+            if self.order.is_empty() {
+                self.order = self.members.keys().copied().collect();
+                self.order.shuffle(rng);
+            }
+            let next = self.order.pop();
+            let fits = |ident: &u64| self.members.contains_key(ident) && !targets.contains(ident);
+            targets.extend(next.filter(fits));
+        }
+        targets
+    }
+
+    /// Lets members whose beats stand still go on in their life.
+    ///
+    /// Returns whether some member became dead by it.
+    pub fn age(&mut self, now: Moment, charts: &Charts) -> bool {
+        let mut proposed = false;
+        for member in self.members.values_mut() {
+            let silence = now.since(member.heard_at);
+            let events = [(silence >= QUIET, Event::Quiet), (silence >= LOST, Event::Lost)];
+            for (_, event) in events.into_iter().filter(|(due, _)| *due) {
+                let step = charts.member.step(member.state, event);
+                member.state = step.next;
+                proposed |= !step.actions.is_empty();
+            }
+        }
+        proposed
+    }
+
+    /// Returns the members that are to leave the roster: the dead and those that leave.
+    #[must_use]
+    pub fn gone(&self) -> Vec<u64> {
+        let gone = self
+            .members
+            .iter()
+            .filter(|(_, member)| matches!(member.state, State::Dead | State::Leaving));
+        gone.map(|(ident, _)| *ident).collect()
+    }
+}
+
+/// Tells whether one piece of news says all that another one says.
+fn replaces(new: &News, old: &News) -> bool {
+    match (new, old) {
+        (News::Thermal { upstream, epoch }, News::Thermal { upstream: other, epoch: before })
+        | (News::Drain { upstream, epoch }, News::Drain { upstream: other, epoch: before }) => {
+            upstream == other && epoch >= before
+        }
+        _ => false,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod call;
 pub mod charts;
 pub mod engine;
+pub mod gossip;
+pub mod member;
 pub mod message;
 pub mod queue;
 pub mod quota;
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -3,9 +3,48 @@
 use base::prelude::*;
 
 use crate::quota;
+use crate::roster::{Member, Roster};
 
 record! {
-    /// A message from one member to another.
+    /// What goes from one member to another.
+    pub enum Frame {
+        /// Tells what the sender knows and asks for the same.
+        Probe(Digest),
+        /// Answers a probe.
+        Reply(Digest),
+        /// Asks for the newest configuration.
+        Fetch,
+        /// A configuration in the form in which the store holds it.
+        Config(Vec<u8>),
+        /// A message for the receiver's decisions.
+        Message(Message),
+    }
+
+    /// What a member knows, in short.
+    pub struct Digest {
+        /// When the probe was sent, by the clock of who sent it.
+        pub sent_at: Moment,
+        /// Number of the configuration in force.
+        pub config: u64,
+        /// Number of the newest roster known.
+        pub roster: u64,
+        /// Time since that roster was last known to be current.
+        pub roster_age: Span,
+        /// The roster itself, for one who knows an older one.
+        pub newer: Option<Box<Roster>>,
+        /// The sender, if the roster does not name it.
+        pub joiner: Option<Box<Member>>,
+        /// Whether the sender has just started and knows no news.
+        pub fresh: bool,
+        /// Whether the sender leaves.
+        pub leaving: bool,
+        /// Highest beats heard of, by member.
+        pub beats: Vec<(u64, u32)>,
+        /// News to pass on.
+        pub news: Vec<News>,
+    }
+
+    /// A message for the decisions of one member.
     pub enum Message {
         /// Asks the owner of a cold upstream for one call.
         Ask {
@@ -37,24 +76,28 @@
             /// How it ended.
             result: quota::Result,
         },
-        /// Tells the next owner that this member has stopped acting for an upstream.
+        /// Tells a member that the sender acts no more for what the receiver owns now.
         Cede {
-            /// Number of the roster under which the next one owns it.
+            /// Number of the roster under which the receiver owns it.
             number: u64,
-            /// The upstream's identity.
-            upstream: u64,
-            /// The limit that it had reached.
-            limit: u32,
-            /// Marks of the calls that are still out, with the members that hold them.
-            out: Vec<(u64, u64)>,
+            /// What the sender had granted of it.
+            rows: Vec<Ceded>,
         },
         /// Tells the owner that connections to its upstream fail.
         Down {
             /// The upstream's identity.
             upstream: u64,
         },
-        /// News that each member passes on.
-        News(Vec<News>),
+    }
+
+    /// What an owner had granted of an upstream that it cedes.
+    pub struct Ceded {
+        /// The upstream's identity.
+        pub upstream: u64,
+        /// The limit that it had reached.
+        pub limit: u32,
+        /// Marks of the calls that are still out, with the members that hold them.
+        pub out: Vec<(u64, u64)>,
     }
 
     /// A fact that only grows.
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -4,7 +4,7 @@
 //! upstream follows from the roster alone; a [`Tenure`] tells whether this member may act as the
 //! owner at a moment, so that no two members may at once even while their views differ.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use base::hash::{digest, mix};
@@ -14,8 +14,6 @@
 pub const TERM: Span = Span::seconds(5);
 /// The newest schema of the roster's document that this build reads.
 pub const SCHEMA: u32 = 1;
-/// Rosters that a member remembers to know how long it has owned something.
-const REMEMBERED: usize = 8;
 
 record! {
     /// A member.
@@ -39,6 +37,8 @@
         pub schema: u32,
         /// Count of changes.
         pub number: u64,
+        /// Identities of the members under the number before.
+        pub previous: Vec<u64>,
         /// Members by identity.
         pub members: BTreeMap<u64, Member>,
     }
@@ -48,34 +48,24 @@
     /// Returns the member that owns the thing with the given identity.
     #[must_use]
     pub fn owner(&self, ident: u64) -> Option<u64> {
-        self.ranked(ident).next()
+        let members = self.members.keys();
+        members.copied().max_by_key(|member| (mix(*member ^ mix(ident)), *member))
     }
 
     /// Returns the members in the order in which they would own the thing.
     pub fn ranked(&self, ident: u64) -> impl Iterator<Item = u64> {
-        let mut order: Vec<(u64, u64)> =
-            self.members.keys().map(|member| (mix(*member ^ mix(ident)), *member)).collect();
-        order.sort_unstable_by(|one, other| other.cmp(one));
-        order.into_iter().map(|(_, member)| member)
+        rank(self.members.keys().copied(), ident)
     }
 
-    /// Returns the roster with one member more or replaced, one number higher.
+    /// Returns the roster without some members and with others, one number higher.
     #[must_use]
-    pub fn with(&self, member: Member) -> Self {
-        let mut next = self.clone();
-        next.number += 1;
-        next.schema = SCHEMA;
-        next.members.insert(member.ident, member);
-        next
-    }
-
-    /// Returns the roster without the given members, one number higher.
-    #[must_use]
-    pub fn without(&self, gone: &[u64]) -> Self {
+    pub fn changed(&self, gone: &[u64], joiners: &[Member]) -> Self {
         let mut next = self.clone();
         next.number += 1;
         next.schema = SCHEMA;
+        next.previous = self.members.keys().copied().collect();
         next.members.retain(|ident, _| !gone.contains(ident));
+        next.members.extend(joiners.iter().map(|member| (member.ident, member.clone())));
         next
     }
 }
@@ -90,16 +80,21 @@
 #[derive(Clone, Debug)]
 pub struct Tenure {
     me: u64,
-    history: VecDeque<Entry>,
+    roster: Option<Roster>,
+    learned_at: Moment,
     confirmed_at: Moment,
-    ceded: BTreeMap<u64, u64>,
+    /// Whether this member held all that it owned when it adopted the roster, straight from the
+    /// one before.
+    held_before: bool,
+    ceded: BTreeSet<u64>,
+    consents: BTreeMap<u64, Moment>,
 }
 
-/// One roster that the member adopted.
-#[derive(Clone, Debug)]
-struct Entry {
-    roster: Roster,
-    learned_at: Moment,
+/// What a member that adopts a roster has to tell others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Cession {
+    /// Members that have to know that this one acts for nothing of theirs any more.
+    pub to: Vec<u64>,
 }
 
 impl Tenure {
@@ -108,9 +103,12 @@
     pub fn new(me: u64) -> Self {
         Self {
             me,
-            history: VecDeque::new(),
+            roster: None,
+            learned_at: Moment::default(),
             confirmed_at: Moment::default(),
-            ceded: BTreeMap::new(),
+            held_before: false,
+            ceded: BTreeSet::new(),
+            consents: BTreeMap::new(),
         }
     }
 
@@ -123,7 +121,7 @@
     /// Returns the newest roster known.
     #[must_use]
     pub fn roster(&self) -> Option<&Roster> {
-        self.history.back().map(|entry| &entry.roster)
+        self.roster.as_ref()
     }
 
     /// Returns the number of the newest roster known, or zero.
@@ -138,24 +136,39 @@
         self.confirmed_at
     }
 
-    /// Takes in a roster that was current at some time after `asked_at`.
+    /// Adopts a roster that was current at some time after `asked_at`, if it is newer.
     ///
-    /// Returns whether it is newer than the one known. An older one changes nothing.
-    pub fn confirm(&mut self, now: Moment, asked_at: Moment, roster: &Roster) -> bool {
-        if roster.number < self.number() {
-            return false;
-        }
-        let newer = roster.number > self.number();
-        if newer {
-            self.ceded.clear();
-            self.history.push_back(Entry { roster: roster.clone(), learned_at: now });
-            if self.history.len() > REMEMBERED {
-                self.history.pop_front();
-            }
-            self.confirmed_at = asked_at;
+    /// `linger` is how long the effects of an owner may last once its right has ended. Returns
+    /// whom this member has to tell that it has stopped acting for what they own now.
+    pub fn adopt(
+        &mut self,
+        now: Moment,
+        asked_at: Moment,
+        roster: &Roster,
+        linger: Span,
+    ) -> Option<Cession> {
+        if roster.number <= self.number() {
+            self.confirm_number(asked_at, roster.number);
+            return None;
         }
+        let straight = self.number() + 1 == roster.number;
+        let settled = straight && self.is_settled(now, linger) && now < self.valid_until();
+        let to = if settled { self.heirs(roster) } else { Vec::new() };
+        let joins = !roster.previous.contains(&self.me);
+        self.held_before = settled || joins;
+        self.roster = Some(roster.clone());
+        self.learned_at = now;
         self.confirmed_at = self.confirmed_at.max(asked_at);
-        newer
+        self.ceded.clear();
+        self.consents.clear();
+        Some(Cession { to })
+    }
+
+    /// Returns the members that may own under `next` what this one owns now.
+    fn heirs(&self, next: &Roster) -> Vec<u64> {
+        let stays = next.members.contains_key(&self.me);
+        let gains = |ident: &u64| !stays || !next.previous.contains(ident);
+        next.members.keys().copied().filter(|ident| *ident != self.me).filter(gains).collect()
     }
 
     /// Takes in a confirmation of the number alone; another number than the known one is ignored.
@@ -165,11 +178,32 @@
         }
     }
 
-    /// Takes in that the owner before has ceded a thing under the given roster number.
-    pub fn cede(&mut self, number: u64, ident: u64) -> bool {
-        let mine = number == self.number() && self.is_owner(ident);
+    /// Takes in that a member knew no newer roster at some time after `asked_at`.
+    pub fn consent(&mut self, member: u64, asked_at: Moment, number: u64) {
+        if number == self.number() {
+            let last = self.consents.entry(member).or_default();
+            *last = asked_at.max(*last);
+        }
+    }
+
+    /// Returns when every other member was last known to know no newer roster.
+    ///
+    /// While all of them agree, none of them has written a newer one, and a member that learns
+    /// one later waits before it acts by it. So their word together stands for the store's.
+    #[must_use]
+    pub fn agreed_at(&self) -> Moment {
+        let Some(roster) = self.roster() else { return Moment::default() };
+        let others = roster.members.keys().filter(|ident| **ident != self.me);
+        let last = others.map(|ident| self.consents.get(ident).copied().unwrap_or_default());
+        // A member alone in its roster has nobody whose word could stand for the store's.
+        last.min().unwrap_or_default()
+    }
+
+    /// Takes in that a member of the roster before acts no more for what it owned under that one.
+    pub fn cede(&mut self, number: u64, member: u64) -> bool {
+        let mine = number == self.number();
         if mine {
-            self.ceded.insert(ident, number);
+            self.ceded.insert(member);
         }
         mine
     }
@@ -182,45 +216,56 @@
 
     /// Tells whether this member may act as the owner now.
     ///
-    /// `linger` is how long the effects of an owner before may last once its right has ended.
+    /// `linger` is how long the effects of an owner may last once its right has ended.
     #[must_use]
     pub fn holds(&self, now: Moment, ident: u64, linger: Span) -> bool {
-        if !self.is_owner(ident) || now >= self.confirmed_at + TERM {
+        if now >= self.valid_until() || !self.is_owner(ident) {
             return false;
         }
-        if self.ceded.contains_key(&ident) {
+        let Some(roster) = self.roster() else { return false };
+        if roster.number == 1 || self.has_waited(now, linger) {
             return true;
         }
-        match self.owned_since(ident) {
-            Since::Always => true,
-            // Twice the term, so that a chain of two hand-overs cannot overlap either.
-            Since::At(since) => now >= since + TERM + TERM + linger,
+        match rank(roster.previous.iter().copied(), ident).next() {
+            Some(before) if before == self.me => self.held_before,
+            Some(before) => self.ceded.contains(&before),
+            None => false,
         }
     }
 
-    /// Walks back through rosters with consecutive numbers while this member is the owner.
-    fn owned_since(&self, ident: u64) -> Since {
-        let mut since = Since::At(Moment(u64::MAX));
-        let mut number = self.number();
-        for entry in self.history.iter().rev() {
-            let roster = &entry.roster;
-            if roster.number != number || roster.owner(ident) != Some(self.me) {
-                return since;
-            }
-            since = Since::At(entry.learned_at);
-            number -= 1;
-            if roster.number == 1 {
-                return Since::Always;
-            }
+    /// Returns when this member's right ends unless the roster is confirmed again.
+    fn valid_until(&self) -> Moment {
+        if self.roster.is_none() {
+            return Moment::default();
+        }
+        self.confirmed_at.max(self.agreed_at()) + TERM
+    }
+
+    /// Tells whether every right under rosters before has ended by itself.
+    fn has_waited(&self, now: Moment, linger: Span) -> bool {
+        // Twice the term, so that a chain of two hand-overs cannot overlap either.
+        now >= self.learned_at + TERM + TERM + linger
+    }
+
+    /// Tells whether this member holds all that it owns.
+    fn is_settled(&self, now: Moment, linger: Span) -> bool {
+        let Some(roster) = self.roster() else { return false };
+        if roster.number == 1 || self.has_waited(now, linger) {
+            return true;
         }
-        since
+        let joined = !roster.previous.contains(&self.me);
+        let mut givers = roster
+            .previous
+            .iter()
+            .filter(|ident| **ident != self.me && (joined || !roster.members.contains_key(ident)));
+        self.held_before && givers.all(|ident| self.ceded.contains(ident))
     }
 }
 
-/// Since when a member owns something.
-enum Since {
-    /// Since the first roster of the deployment.
-    Always,
-    /// Since a moment.
-    At(Moment),
+/// Returns members in the order in which they would own the thing.
+fn rank(members: impl Iterator<Item = u64>, ident: u64) -> impl Iterator<Item = u64> {
+    let mut order: Vec<(u64, u64)> =
+        members.map(|member| (mix(member ^ mix(ident)), member)).collect();
+    order.sort_unstable_by(|one, other| other.cmp(one));
+    order.into_iter().map(|(_, member)| member)
 }
--- /dev/null
+++ b/crates/policy/tests/cold.rs
@@ -0,0 +1,187 @@
+//! Tests of what upstreams in a cold start get while views differ.
+
+mod common;
+
+use base::prelude::*;
+use common::{Fleet, config};
+
+/// What goes wrong while an upstream is cold.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Nothing,
+    OwnerKilled,
+    OwnerPaused,
+    OwnerIsolated,
+    OwnerCutFromStore,
+    OwnerHeardOneWay,
+    HalfCut,
+    EntryAdded,
+    EntryAddedTwice,
+    StoreDown,
+    OwnerPausedAndEntryAdded,
+    OwnerIsolatedAndEntryAdded,
+}
+
+const FAULTS: [Fault; 12] = [
+    Fault::Nothing,
+    Fault::OwnerKilled,
+    Fault::OwnerPaused,
+    Fault::OwnerIsolated,
+    Fault::OwnerCutFromStore,
+    Fault::OwnerHeardOneWay,
+    Fault::HalfCut,
+    Fault::EntryAdded,
+    Fault::EntryAddedTwice,
+    Fault::StoreDown,
+    Fault::OwnerPausedAndEntryAdded,
+    Fault::OwnerIsolatedAndEntryAdded,
+];
+
+const ENTRIES: usize = 5;
+const PATIENCE: Span = Span::millis(400);
+const GAP: Span = Span::millis(7);
+
+fn isolate(fleet: &mut Fleet, entry: usize) {
+    for other in (0..fleet.entries.len()).filter(|other| *other != entry) {
+        fleet.cut.insert((entry, other));
+        fleet.cut.insert((other, entry));
+    }
+    fleet.storeless.insert(entry);
+}
+
+fn strike(fleet: &mut Fleet, fault: Fault, owner: usize) {
+    match fault {
+        Fault::Nothing => {}
+        Fault::OwnerKilled => fleet.kill(owner),
+        Fault::OwnerPaused => {
+            fleet.paused.insert(owner);
+        }
+        Fault::OwnerIsolated => isolate(fleet, owner),
+        Fault::OwnerCutFromStore => {
+            fleet.storeless.insert(owner);
+        }
+        Fault::OwnerHeardOneWay => {
+            for other in (0..ENTRIES).filter(|other| *other != owner) {
+                fleet.cut.insert((owner, other));
+            }
+        }
+        Fault::HalfCut => {
+            for one in 0..ENTRIES / 2 {
+                for other in ENTRIES / 2..ENTRIES {
+                    fleet.cut.insert((one, other));
+                    fleet.cut.insert((other, one));
+                }
+            }
+        }
+        Fault::EntryAdded => {
+            fleet.add();
+        }
+        Fault::EntryAddedTwice => {
+            fleet.add();
+            fleet.load(Span::seconds(1), GAP, PATIENCE);
+            fleet.add();
+        }
+        Fault::StoreDown => fleet.storeless.extend(0..ENTRIES),
+        Fault::OwnerPausedAndEntryAdded => {
+            fleet.paused.insert(owner);
+            fleet.add();
+        }
+        Fault::OwnerIsolatedAndEntryAdded => {
+            isolate(fleet, owner);
+            fleet.add();
+        }
+    }
+}
+
+/// Runs one fault against an upstream that stays cold and returns the fleet at the end.
+fn run(fault: Fault) -> Fleet {
+    let mut fleet = Fleet::new(ENTRIES, config(1, 4, 1));
+    fleet.run(Span::seconds(30));
+    let upstream = fleet.upstreams.get_mut("u0").expect("u0");
+    upstream.cold = true;
+    upstream.service = Span::millis(30);
+    fleet.load(Span::seconds(2), GAP, PATIENCE);
+    let owner = *fleet.holders("u0").first().expect("an owner");
+    strike(&mut fleet, fault, owner);
+    fleet.load(Span::seconds(25), GAP, PATIENCE);
+    fleet.paused.clear();
+    fleet.load(Span::seconds(10), GAP, PATIENCE);
+    fleet.cut.clear();
+    fleet.storeless.clear();
+    fleet.load(Span::seconds(25), GAP, PATIENCE);
+    fleet
+}
+
+#[test]
+fn cold_bound_holds_in_sum() {
+    for fault in FAULTS {
+        let fleet = run(fault);
+        let upstream = &fleet.upstreams["u0"];
+        assert_eq!(upstream.peak, 1, "{fault:?}: calls in progress at a time");
+        // Work went on before the fault and again at the end.
+        assert!(upstream.last_sent + Span::seconds(1) > fleet.now, "{fault:?}: starved at the end");
+    }
+}
+
+#[test]
+fn owner_is_one_at_most() {
+    for fault in FAULTS {
+        let mut fleet = Fleet::new(ENTRIES, config(3, 4, 1));
+        fleet.run(Span::seconds(30));
+        let owner = *fleet.holders("u0").first().expect("an owner");
+        strike(&mut fleet, fault, owner);
+        for second in 0..60 {
+            if second == 25 {
+                fleet.paused.clear();
+            }
+            if second == 35 {
+                fleet.cut.clear();
+                fleet.storeless.clear();
+            }
+            for _ in 0..10 {
+                fleet.run(Span::millis(100));
+                for name in ["u0", "u1", "u2"] {
+                    let holders = fleet.holders(name);
+                    assert!(holders.len() <= 1, "{fault:?}: {name} at {second} s by {holders:?}");
+                }
+            }
+        }
+        for name in ["u0", "u1", "u2"] {
+            assert_eq!(fleet.holders(name).len(), 1, "{fault:?}: {name} has no owner at the end");
+        }
+    }
+}
+
+#[test]
+fn cold_fleet_warms_up() {
+    let mut fleet = Fleet::new(4, config(6, 4, 1));
+    fleet.run(Span::seconds(30));
+    fleet.load(Span::seconds(5), Span::millis(10), Span::seconds(1));
+    for engine in fleet.entries.iter().flatten() {
+        for upstream in engine.dump(policy::Now { at: fleet.now, unix_ms: 0 }).upstreams.values() {
+            assert_eq!(upstream.state, policy::upstream::State::Warm);
+            assert_eq!(upstream.epoch, 2);
+        }
+    }
+    // All but the calls that are still in progress were answered.
+    assert!(fleet.answered() + 8 >= 4 * 500, "{}", fleet.answered());
+}
+
+#[test]
+fn cold_without_warning_shrinks_at_once() {
+    let mut fleet = Fleet::new(4, config(4, 4, 1));
+    fleet.run(Span::seconds(30));
+    fleet.load(Span::seconds(5), Span::millis(4), Span::seconds(1));
+    let upstream = fleet.upstreams.get_mut("u0").expect("u0");
+    assert!(upstream.peak > 1, "it was warm");
+    upstream.cold = true;
+    // One round of news later every entry knows.
+    fleet.load(Span::seconds(1), Span::millis(4), Span::seconds(1));
+    fleet.upstreams.get_mut("u0").expect("u0").peak = 0;
+    fleet.load(Span::seconds(5), Span::millis(4), Span::seconds(1));
+    assert_eq!(fleet.upstreams["u0"].peak, 1);
+    fleet.upstreams.get_mut("u0").expect("u0").cold = false;
+    fleet.load(Span::seconds(5), Span::millis(4), Span::seconds(1));
+    assert!(fleet.upstreams["u0"].peak > 1, "it is warm again");
+    assert_eq!(fleet.count(|end| matches!(end, common::End::Refused(..))), 0);
+}
--- a/crates/rig/src/local.rs
+++ b/crates/rig/src/local.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
-use entry::settings::{Limits, Listen, Operator, Settings};
+use entry::settings::{Keys, Limits, Listen, Operator, Settings, Source};
 use hyper::StatusCode;
 
 use crate::caller;
@@ -29,6 +29,8 @@
     pub domains: usize,
     /// How each upstream behaves.
     pub behaviour: Behaviour,
+    /// Time for which callers keep an answer of which entries to use.
+    pub resolve_time: Duration,
     /// First port, or zero for any free ones.
     pub port: u16,
 }
@@ -62,6 +64,9 @@
     /// An entry cannot start.
     #[display("{_0}")]
     Entry(entry::Fault),
+    /// Keys cannot be issued.
+    #[display("{_0}")]
+    Keys(peer::KeyError),
     /// An entry does not answer an operator.
     #[display("{_0}")]
     Call(store::Error),
@@ -86,6 +91,7 @@
             next_upstreams: 4,
             domains: 4,
             behaviour: Behaviour { cold_calls: 20, ..Behaviour::default() },
+            resolve_time: Duration::from_millis(500),
             port: 0,
         }
     }
@@ -100,9 +106,15 @@
     pub async fn start(plan: &Plan) -> Result<Self, Fault> {
         let mut ports = Ports { next: plan.port };
         let store = Store::start(ports.address()?).await?;
-        let mut entries = Vec::new();
-        for number in 0..plan.entries {
-            entries.push(start_entry(plan, number, store.address, &mut ports).await?);
+        let keys = peer::issue(plan.entries)?;
+        let mut entries: Vec<Entry> = Vec::new();
+        for (number, material) in keys.into_iter().enumerate() {
+            // Each entry knows those before it, as an operator's settings would.
+            let known = entries.iter().map(|entry| entry.listen.peers).collect();
+            let listen = ports.listen()?;
+            let mut settings = settings(plan, number, store.address, listen, material);
+            settings.peers = known;
+            entries.push(Entry { listen, handle: entry::start(settings).await? });
         }
         let mut local = Self { store, upstreams: Vec::new(), entries };
         local.configure(plan, &mut ports).await?;
@@ -151,27 +163,28 @@
     }
 }
 
-async fn start_entry(
+fn settings(
     plan: &Plan,
     number: usize,
     store: SocketAddr,
-    ports: &mut Ports,
-) -> Result<Entry, Fault> {
-    let listen =
-        Listen { callers: ports.address()?, operators: ports.address()?, peers: ports.address()? };
-    let settings = Settings {
+    listen: Listen,
+    material: peer::Material,
+) -> Settings {
+    Settings {
         name: format!("entry-{}", number + 1),
         domain: format!("d{}", number % plan.domains + 1),
         listen,
         store: entry::settings::Store { address: store, patience: Duration::from_secs(2) },
         peers: Vec::new(),
-        keys: None,
+        keys: Some(Keys {
+            authority: Source::Inline(material.authority),
+            certificate: Source::Inline(material.certificate),
+            key: Source::Inline(material.key),
+        }),
         operators: vec![Operator { name: "local".into(), token: TOKEN.into(), commands: true }],
-        limits: Limits::default(),
+        limits: Limits { resolve_time: plan.resolve_time, ..Limits::default() },
         log: log::LevelFilter::Info,
-    };
-    let handle = entry::start(settings).await?;
-    Ok(Entry { listen, handle })
+    }
 }
 
 /// Ports for a deployment.
@@ -180,6 +193,11 @@
 }
 
 impl Ports {
+    /// Returns addresses for an entry.
+    fn listen(&mut self) -> std::io::Result<Listen> {
+        Ok(Listen { callers: self.address()?, operators: self.address()?, peers: self.address()? })
+    }
+
     /// Returns the next address; with no first port given, one that is free now.
     fn address(&mut self) -> std::io::Result<SocketAddr> {
         if self.next == 0 {
