--- a/crates/entry/src/contact.rs
+++ b/crates/entry/src/contact.rs
@@ -1,10 +1,11 @@
 //! The task that confirms the roster with the store and writes new ones.
 
 use model::document;
+use model::instance::{self, Instances};
 use policy::engine::Input;
 use policy::roster::{Roster, SCHEMA};
 use rand::RngExt;
-use store::{CONFIG, Error, Put, ROSTER, Store};
+use store::{CONFIG, Error, INSTANCES, Put, ROSTER, Store};
 use xtra::prelude::*;
 
 use crate::clock::Clock;
@@ -21,6 +22,7 @@
     roster: Roster,
     roster_version: u64,
     config_version: u64,
+    instances_version: u64,
 }
 
 /// Asks the store what is current.
@@ -42,6 +44,7 @@
             roster: Roster::default(),
             roster_version: 0,
             config_version: 0,
+            instances_version: 0,
         }
     }
 
@@ -53,6 +56,7 @@
             versions.iter().find(|(one, _)| one == name).map_or(0, |(_, version)| *version)
         };
         let (roster, config) = (version(ROSTER), version(CONFIG));
+        let instances = version(INSTANCES);
         if roster > self.roster_version {
             self.read_roster().await?;
         }
@@ -62,6 +66,22 @@
         if config > self.config_version {
             self.read_config().await?;
         }
+        if instances > self.instances_version {
+            self.read_instances().await?;
+        }
+        Ok(())
+    }
+
+    /// Reads the platform's list and tells which upstreams it says are leaving.
+    async fn read_instances(&mut self) -> Result<(), Error> {
+        let Some(object) = self.store.get(INSTANCES).await? else { return Ok(()) };
+        match document::decode::<Instances>(&object.bytes, instance::SCHEMA) {
+            Ok(instances) => {
+                self.instances_version = object.version;
+                let _ = self.steer.send(Feed(Input::Leaving(instances.leaving()))).await;
+            }
+            Err(fault) => log::error!("event=instances_unreadable error=\"{fault}\""),
+        }
         Ok(())
     }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod config;
 pub mod document;
+pub mod instance;
 pub mod object;
 pub mod query;
 
--- a/crates/policy/src/balance/gauge.rs
+++ b/crates/policy/src/balance/gauge.rs
@@ -3,11 +3,13 @@
 use base::prelude::*;
 
 /// Weight of a new sample in the estimate of a service time.
-const SERVICE_GAIN: f64 = 0.15;
+const SERVICE_GAIN: f64 = 0.05;
 /// Weight of a new sample in the mean load that others cause.
 const OTHERS_GAIN: f64 = 0.05;
 /// Time after which a report of load has lost most of its worth, in service times.
-const REPORT_LIFE: f64 = 3.0;
+const REPORT_LIFE: f64 = 1.0;
+/// Cost of a call at an upstream for each share of its slots that is taken, in service times.
+const CROWDING: f64 = 0.5;
 /// Time after which a service time that nothing renews has lost most of its worth.
 const SERVICE_LIFE: Span = Span::seconds(2);
 
@@ -93,7 +95,7 @@
         let service = typical + (known - typical) * worth;
         let slots = f64::from(slots.max(1));
         let rounds = ((self.load(now) + 1.0) / slots).max(1.0);
-        // A little of the load counts below the slots too, which spreads equal choices.
-        service.max(1.0) * (rounds + 0.05 * self.load(now) / slots)
+        // Load counts below the slots too: it is stale, so a taken slot may well be the last one.
+        service.max(1.0) * (rounds + CROWDING * self.load(now) / slots)
     }
 }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -8,6 +8,7 @@
 mod outcome;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use base::prelude::*;
 use model::{Catalog, Config};
@@ -68,8 +69,8 @@
         /// What it sent.
         frame: Frame,
     },
-    /// The platform says that an upstream leaves.
-    Leaving(key::Upstream),
+    /// The platform says that what serves at these addresses leaves.
+    Leaving(Vec<SocketAddr>),
     /// Time has passed.
     Tick,
     /// The entry tells its peers that it leaves.
@@ -235,9 +236,7 @@
             Input::Left(call) => self.leave(now, call, out),
             Input::Roster { asked_at, roster } => self.adopt_roster(now, asked_at, &roster, out),
             Input::Peer { from, frame } => self.frame(now, from, frame, out),
-            Input::Leaving(upstream) => {
-                self.upstream_event(now, upstream, upstream::Event::Draining, out);
-            }
+            Input::Leaving(addresses) => self.drain_listed(now, &addresses, out),
             Input::Tick => self.tick(now, out),
             Input::Leave => self.fleet.leaving = true,
             Input::Stop => self.stop(now, out),
@@ -310,6 +309,18 @@
         }
     }
 
+    /// Drains upstreams that the platform says are leaving.
+    fn drain_listed(&mut self, now: Now, addresses: &[SocketAddr], out: &mut Vec<Output>) {
+        let listed = |(_, one): &(key::Upstream, &model::catalog::Upstream)| {
+            addresses.contains(&one.address)
+        };
+        let listed: Vec<_> =
+            self.catalog.upstreams.iter().filter(listed).map(|(key, _)| key).collect();
+        for upstream in listed {
+            self.upstream_event(now, upstream, upstream::Event::Draining, out);
+        }
+    }
+
     fn tick(&mut self, now: Now, out: &mut Vec<Output>) {
         self.watch_domains(now, out);
         self.expire_calls(now, out);
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -58,6 +58,21 @@
     pub last_sent: Moment,
 }
 
+impl Default for Upstream {
+    fn default() -> Self {
+        Self {
+            service: Span::millis(5),
+            cold: false,
+            draining: false,
+            answer: Answer::Good,
+            in_flight: 0,
+            peak: 0,
+            sent: 0,
+            last_sent: Moment::default(),
+        }
+    }
+}
+
 /// Something that happens later.
 #[derive(Clone, Debug)]
 enum Later {
@@ -131,19 +146,7 @@
         };
         let names: Vec<String> = fleet.config.upstreams.keys().cloned().collect();
         for name in names {
-            fleet.upstreams.insert(
-                name,
-                Upstream {
-                    service: Span::millis(5),
-                    cold: false,
-                    draining: false,
-                    answer: Answer::Good,
-                    in_flight: 0,
-                    peak: 0,
-                    sent: 0,
-                    last_sent: Moment::default(),
-                },
-            );
+            fleet.upstreams.insert(name, Upstream::default());
         }
         for _ in 0..entries {
             fleet.add();
@@ -180,6 +183,19 @@
         self.input(entry, Input::Config(Box::new(config)));
     }
 
+    /// Changes the configuration by commands and gives it to every entry.
+    pub fn order_all(&mut self, command: Command) {
+        self.config = apply(&self.config, command, self.unix_ms());
+        for entry in 0..self.entries.len() {
+            self.refresh(entry);
+        }
+    }
+
+    /// Gives an entry an input.
+    pub fn feed(&mut self, entry: usize, input: Input) {
+        self.input(entry, input);
+    }
+
     /// Gives an entry the newest configuration.
     pub fn refresh(&mut self, entry: usize) {
         let config = self.config.clone();
--- /dev/null
+++ b/crates/rig/src/compare/trace.rs
@@ -0,0 +1,79 @@
+//! The calls that every way gets.
+
+use derive_more::Display;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::world::Setting;
+
+/// How load goes over time.
+#[derive(Clone, Copy, Debug, PartialEq, Display)]
+pub enum Shape {
+    /// A steady share of the upstreams' capacity.
+    #[display("{:.0} % of capacity", _0 * 100.0)]
+    Steady(f64),
+    /// A tenth of this share first, then the whole of it at once.
+    #[display("from {:.1} % to {:.0} % of capacity at once", _0 * 10.0, _0 * 100.0)]
+    Step(f64),
+    /// A steady share, and the slow upstreams become slow when measuring starts.
+    #[display("{:.0} % of capacity, upstreams become slow at once", _0 * 100.0)]
+    Sudden(f64),
+}
+
+/// One call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When it comes.
+    pub at: f64,
+    /// The entry that it comes to.
+    pub entry: usize,
+    /// The work that it is, in mean service times.
+    pub work: f64,
+}
+
+/// A seeded sequence of calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trace {
+    /// The calls in order.
+    pub arrivals: Vec<Arrival>,
+    /// When measuring starts.
+    pub measured_from: f64,
+    /// When slow upstreams become slow.
+    pub slow_from: f64,
+}
+
+impl Trace {
+    /// Makes a trace of `calls` calls with exponential gaps and work.
+    #[must_use]
+    pub fn new(setting: &Setting, shape: Shape, calls: usize, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let capacity = setting.capacity();
+        let mut at = 0.0;
+        let mut measured_from = 0.0;
+        let mut arrivals = Vec::with_capacity(calls);
+        for number in 0..calls {
+            let share = match shape {
+                Shape::Steady(share) | Shape::Sudden(share) => share,
+                Shape::Step(share) if number < calls / 20 => share / 10.0,
+                Shape::Step(share) => share,
+            };
+            at += exponential(&mut rng) / (capacity * share);
+            let warm_up = match shape {
+                Shape::Steady(_) | Shape::Sudden(_) => calls / 10,
+                Shape::Step(_) => calls / 20,
+            };
+            if number == warm_up {
+                measured_from = at;
+            }
+            let entry = rng.random_range(0..setting.entries);
+            arrivals.push(Arrival { at, entry, work: exponential(&mut rng) });
+        }
+        let slow_from = if matches!(shape, Shape::Sudden(_)) { measured_from } else { 0.0 };
+        Self { arrivals, measured_from, slow_from }
+    }
+}
+
+/// Draws from the exponential distribution with mean 1.
+fn exponential(rng: &mut SmallRng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what surrounds the entries: the store, upstreams and callers.
 
 pub mod caller;
+pub mod compare;
 pub mod local;
 pub mod serve;
 pub mod store;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,7 +3,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use base::derive::Symbol;
 use clap::{Parser, Subcommand};
+use derive_more::{Display, Error};
+use rig::compare::{self, Name, Setting, Shape, Trace};
 use rig::local::{Fault, Local, Plan, SERVICE, TOKEN};
 
 /// First port of a local deployment.
@@ -31,6 +34,18 @@
         #[arg(long, default_value_t = FIRST_PORT)]
         port: u16,
     },
+    /// Compares ways to choose upstreams on one seeded trace in virtual time.
+    Compare {
+        /// Seed of the trace.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Calls in the trace.
+        #[arg(long, default_value_t = compare::CALLS)]
+        calls: usize,
+        /// Runs only this way.
+        #[arg(long, value_parser = way)]
+        way: Option<Name>,
+    },
 }
 
 fn seconds(text: &str) -> Result<Duration, std::num::ParseIntError> {
@@ -42,6 +57,10 @@
     let arguments = Arguments::parse();
     let result = match arguments.work {
         Work::Local { time, entries, port } => local(time, entries, port).await,
+        Work::Compare { seed, calls, way } => {
+            compare_ways(seed, calls, way);
+            Ok(())
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -52,6 +71,27 @@
     }
 }
 
+fn compare_ways(seed: u64, calls: usize, only: Option<Name>) {
+    let setting = Setting::default();
+    let steady = [0.6, 0.85, 1.0, 1.3].map(Shape::Steady);
+    let shapes = steady.into_iter().chain([Shape::Step(0.85), Shape::Sudden(0.7)]);
+    for shape in shapes {
+        let trace = Trace::new(&setting, shape, calls, seed);
+        let wanted = Name::ALL.iter().filter(|name| only.is_none_or(|only| only == **name));
+        let rows: Vec<_> = wanted.map(|name| compare::one(*name, &setting, &trace, seed)).collect();
+        compare::print(&format!("{shape}, two upstreams slow"), &rows);
+    }
+}
+
+fn way(text: &str) -> Result<Name, UnknownWay> {
+    Name::parse(text).ok_or(UnknownWay)
+}
+
+/// A way that does not exist.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("not a way to choose")]
+struct UnknownWay;
+
 async fn local(time: Option<Duration>, entries: usize, port: u16) -> Result<(), Fault> {
     // Logs of the entries go to standard output, as the daemon's do.
     let _ = entry::logs::start(log::LevelFilter::Warn);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,6 +15,8 @@
 pub const CONFIG: &str = "config";
 /// Name of the object that holds the roster.
 pub const ROSTER: &str = "roster";
+/// Name of the object in which the platform lists instances.
+pub const INSTANCES: &str = "instances";
 /// Header of the identity of a write.
 pub const WRITE_ID: &str = "write-id";
 
