Run a keyed request once, by the word of two homes of its key

Cause: a caller that sends a failure seal again, perhaps through another entry, must not have it run twice, also when the first entry was lost.

Ruled out: one responsible entry with a memory (lost with it), a claim in the store for every request (several hundred writes a second are all it takes, and it has outages), one home that copies to a second (two round trips before the call).

Change: a request that may run once and has a key runs only if the first two members in the roster's order for the key both grant it, asked at once. A home refuses claims under another roster number than its own; when the roster changes every member tells the others what they have to keep, and a home that has not heard of a key from one of its two homes before says that it cannot say. A lost change is asked for again.

--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -26,6 +26,8 @@
 
 /// Start of the paths that entries answer themselves.
 const OWN_PATHS: &str = "/.nutmegwharf/";
+/// Bytes of an idempotency key at the most.
+const MOST_KEY: usize = 255;
 /// What an entry adds to `Via`.
 const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 nutmegwharf");
 
@@ -230,9 +232,12 @@
             Some(Span::millis(millis.filter(|millis| *millis < 1 << 32).ok_or(Problem::BadHeader)?))
         }
     };
+    let service = service(head)?;
+    let workspace = header::text(&head.headers, &header::WORKSPACE);
     Ok(Asked {
-        service: service(head)?.to_owned(),
-        workspace: header::text(&head.headers, &header::WORKSPACE).map(str::to_owned),
+        key: idempotency_key(head, service, workspace.unwrap_or_default())?,
+        service: service.to_owned(),
+        workspace: workspace.map(str::to_owned),
         method: head.method.as_str().to_owned(),
         path: target.as_str().to_owned(),
         patience,
@@ -241,6 +246,15 @@
     })
 }
 
+/// Returns the digest of a request's idempotency key within its service and workspace.
+fn idempotency_key(head: &Parts, service: &str, workspace: &str) -> Result<Option<u64>, Problem> {
+    let Some(value) = head.headers.get(header::IDEMPOTENCY_KEY) else { return Ok(None) };
+    if value.is_empty() || value.len() > MOST_KEY {
+        return Err(Problem::BadHeader);
+    }
+    Ok(Some(digest(&[service.as_bytes(), workspace.as_bytes(), value.as_bytes()])))
+}
+
 /// Returns the service that a request names by header or by the first label of its host.
 fn service(head: &Parts) -> Result<&str, Problem> {
     if let Some(value) = head.headers.get(header::SERVICE) {
--- a/crates/entry/src/front/problem.rs
+++ b/crates/entry/src/front/problem.rs
@@ -104,9 +104,11 @@
 
 fn refusal_status(refusal: Refusal) -> StatusCode {
     match refusal {
-        Refusal::NoUpstream | Refusal::Overload | Refusal::Attempts | Refusal::Stopping => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Refusal::NoUpstream
+        | Refusal::Overload
+        | Refusal::Attempts
+        | Refusal::Stopping
+        | Refusal::KeyUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         Refusal::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
         Refusal::LateUnsent | Refusal::LateSent => StatusCode::GATEWAY_TIMEOUT,
         Refusal::Broken => StatusCode::BAD_GATEWAY,
--- a/crates/entry/src/steer.rs
+++ b/crates/entry/src/steer.rs
@@ -154,6 +154,7 @@
             idempotent,
             replayable: asked.replayable,
             deadline: now.at + patience,
+            key: asked.key,
             digest: asked.digest,
         })
     }
--- a/crates/entry/src/steer/lane.rs
+++ b/crates/entry/src/steer/lane.rs
@@ -50,6 +50,8 @@
     pub patience: Option<Span>,
     /// Whether the body can be sent again.
     pub replayable: bool,
+    /// Digest of the idempotency key, within the service and the workspace.
+    pub key: Option<u64>,
     /// Digest of the request.
     pub digest: u64,
 }
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -3,6 +3,8 @@
 use base::prelude::*;
 use derive_more::{Display, Error};
 
+use crate::engine::Claim;
+
 record! {
     /// What the front knows of a request when it asks where to send it.
     #[derive(Copy)]
@@ -21,6 +23,8 @@
         pub replayable: bool,
         /// When the caller's patience ends.
         pub deadline: Moment,
+        /// Digest of the idempotency key, if there is one.
+        pub key: Option<u64>,
         /// Digest of the request, equal when a caller sends it again.
         pub digest: u64,
     }
@@ -39,6 +43,8 @@
         pub version: Option<key::Version>,
         /// Whether some attempt may have run.
         pub may_have_run: bool,
+        /// The claim of its key, if it has one that needs a claim.
+        pub claim: Option<Claim>,
         /// Whether it waits for an upstream.
         pub waiting: bool,
     }
@@ -51,6 +57,8 @@
         NotRun = "not-run",
         /// It may have run.
         Unknown = "unknown",
+        /// It has run.
+        Ran = "ran",
     }
 }
 
@@ -93,6 +101,9 @@
     /// What became of an earlier request with the key is not known.
     #[display("what became of an earlier request with this idempotency key is not known")]
     KeyUnknown,
+    /// The homes of the idempotency key cannot say whether it was used.
+    #[display("whether this idempotency key was used cannot be found out now")]
+    KeyUnavailable,
     /// The entry stops.
     #[display("the entry stops")]
     Stopping,
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod dump;
 mod fleet;
+mod keyed;
 mod outcome;
 
 use std::collections::BTreeMap;
@@ -17,10 +18,12 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 pub use dump::Dump;
+pub use keyed::Claim;
 
 use crate::attempt::{self, Attempt};
 use crate::balance::{Chooser, Least, Report};
 use crate::call::{Call, Outcome, Refusal, Request};
+use crate::claim::Ledger;
 use crate::gossip::Gossip;
 use crate::message::{Frame, Message, News};
 use crate::queue::Queue;
@@ -183,6 +186,9 @@
     fleet: fleet::Fleet,
     allotments: BTreeMap<u64, Allotment>,
     asks: cold::Asks,
+    ledger: Ledger,
+    claims: BTreeMap<u64, key::Call>,
+    early: Vec<(u64, Message)>,
     out_domains: Vec<key::Domain>,
     home: Option<key::Domain>,
     home_name: String,
@@ -210,6 +216,9 @@
             fleet: fleet::Fleet::default(),
             allotments: BTreeMap::new(),
             asks: cold::Asks::default(),
+            ledger: Ledger::default(),
+            claims: BTreeMap::new(),
+            early: Vec::new(),
             out_domains: Vec::new(),
             home: None,
             home_name: home.into(),
@@ -330,6 +339,7 @@
             self.upstream_event(now, upstream, upstream::Event::Rested, out);
         }
         self.expire_asks(now);
+        self.retry_claims(now, out);
         self.tick_fleet(now, out);
         self.drain_queues(now, out);
     }
--- a/crates/policy/src/engine/calls.rs
+++ b/crates/policy/src/engine/calls.rs
@@ -41,8 +41,13 @@
             failed: Vec::new(),
             version: None,
             may_have_run: false,
+            claim: None,
             waiting: false,
         });
+        if request.key.is_some() && !request.idempotent {
+            out.push(Output::Wait { token: request.token, call });
+            return self.claim(now, call, out);
+        }
         self.place(now, call, out);
     }
 
@@ -185,16 +190,16 @@
             Push::Waits => out.push(Output::Wait { token: request.token, call: key }),
             Push::Displaces(other) => {
                 out.push(Output::Wait { token: request.token, call: key });
-                self.shed(other, out);
+                self.shed(now, other, out);
             }
-            Push::Full => return self.shed(key, out),
+            Push::Full => return self.shed(now, key, out),
         }
         self.ask_owners(now, request.service, out);
     }
 
-    fn shed(&mut self, call: key::Call, out: &mut Vec<Output>) {
+    fn shed(&mut self, now: Now, call: key::Call, out: &mut Vec<Output>) {
         self.stats.shed += 1;
-        self.refuse(call, Refusal::Overload, Outcome::NotRun, out);
+        self.refuse(now, call, Refusal::Overload, Outcome::NotRun, out);
     }
 
     /// Lets waiting calls go wherever an upstream may take them.
@@ -227,32 +232,30 @@
         let expire = |queue: &mut crate::queue::Queue| queue.expire(now.at);
         let late: Vec<key::Call> = self.queues.values_mut().flat_map(expire).collect();
         for call in late {
-            self.refuse(call, Refusal::LateUnsent, Outcome::NotRun, out);
+            self.refuse(now, call, Refusal::LateUnsent, Outcome::NotRun, out);
         }
     }
 
     /// Refuses every waiting call.
     pub(super) fn refuse_waiting(&mut self, now: Now, refusal: Refusal, out: &mut Vec<Output>) {
-        let _ = now;
         let waiting = |(_, call): &(key::Call, &Call)| call.waiting;
         let calls: Vec<_> = self.calls.iter().filter(waiting).map(|(key, _)| key).collect();
         for call in calls {
             self.unqueue(call);
-            self.refuse(call, refusal, Outcome::NotRun, out);
+            self.refuse(now, call, refusal, Outcome::NotRun, out);
         }
     }
 
-    /// Forgets a waiting call whose caller left.
+    /// Forgets a call whose caller left before it had an answer.
     pub(super) fn leave(&mut self, now: Now, key: key::Call, out: &mut Vec<Output>) {
-        if self.calls.get(key).is_some_and(|call| call.waiting) {
-            self.unqueue(key);
-            self.end_call(key);
-            return;
-        }
         let attempt = self.attempts.iter().find(|(_, attempt)| attempt.call == key);
         if let Some(attempt) = attempt.map(|(key, _)| key) {
-            self.attempt_event(now, attempt, attempt::Event::Left, None, out);
+            return self.attempt_event(now, attempt, attempt::Event::Left, None, out);
         }
+        let Some(call) = self.calls.get(key) else { return };
+        let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+        self.unqueue(key);
+        self.end_call(now, key, outcome, out);
     }
 
     fn unqueue(&mut self, key: key::Call) {
@@ -265,17 +268,19 @@
     /// Ends a call with a refusal.
     pub(super) fn refuse(
         &mut self,
+        now: Now,
         key: key::Call,
         refusal: Refusal,
         outcome: Outcome,
         out: &mut Vec<Output>,
     ) {
-        let Some(call) = self.end_call(key) else { return };
         // An attempt that failed harmlessly says nothing of those before it.
-        let outcome = if call.may_have_run { Outcome::Unknown } else { outcome };
+        let before = self.calls.get(key).is_some_and(|call| call.may_have_run);
+        let outcome = if before { Outcome::Unknown } else { outcome };
+        let Some(call) = self.end_call(now, key, outcome, out) else { return };
         match outcome {
             Outcome::NotRun => self.stats.not_run += 1,
-            Outcome::Unknown => self.stats.unknown += 1,
+            Outcome::Unknown | Outcome::Ran => self.stats.unknown += 1,
         }
         let token = call.request.token;
         out.push(Output::Refuse { token, refusal, outcome, retry_after: RETRY_AFTER });
@@ -288,13 +293,20 @@
         out.push(Output::Refuse { token, refusal, outcome, retry_after: RETRY_AFTER });
     }
 
-    /// Forgets a call and gives back what it held of its workspace's limit.
-    pub(super) fn end_call(&mut self, key: key::Call) -> Option<Call> {
+    /// Forgets a call and gives back what it held of its workspace's limit and of its key.
+    pub(super) fn end_call(
+        &mut self,
+        now: Now,
+        key: key::Call,
+        outcome: Outcome,
+        out: &mut Vec<Output>,
+    ) -> Option<Call> {
         let call = self.calls.remove(key)?;
         let workspace = call.request.workspace;
         if let Some(count) = workspace.and_then(|key| self.in_progress.get_mut(key)) {
             *count = count.saturating_sub(1);
         }
+        self.settle_claim(now, &call, outcome, out);
         Some(call)
     }
 }
--- a/crates/policy/src/engine/cold.rs
+++ b/crates/policy/src/engine/cold.rs
@@ -9,6 +9,7 @@
 use super::{Engine, Output};
 use crate::Now;
 use crate::balance::Chooser;
+use crate::claim::Asked;
 use crate::message::{Ceded, Message, News};
 use crate::quota::{self, Allotment, GRANT_TERM};
 use crate::roster::Roster;
@@ -18,6 +19,8 @@
 const EXPLORE: f64 = 0.2;
 /// Asks of one entry that are open at a time, for each service.
 const OPEN_ASKS: usize = 8;
+/// Messages that are kept for a roster that is not known yet.
+const MOST_EARLY: usize = 1_024;
 /// Time after a denial or a lost ask before the same upstream is asked again.
 const ASK_PAUSE: Span = Span::millis(20);
 
@@ -47,16 +50,51 @@
     ) {
         self.fleet.vacant = roster.number == 0;
         let longest = self.longest_linger();
-        let Some(cession) = self.tenure.adopt(now.at, asked_at, roster, longest) else { return };
+        let before = self.tenure.roster().cloned();
+        if !self.tenure.adopt(now.at, asked_at, roster, longest) {
+            return;
+        }
+        let me = self.tenure.me();
+        self.ledger.adopt(now.at, me, before.as_ref(), roster);
         self.gossip.keep(now.at, roster.members.keys().copied());
         let mut rows = self.surrender(now, roster);
-        for to in cession.to {
+        for to in self.tenure.cession().to.clone() {
             let rows = rows.remove(&to).unwrap_or_default();
             out.push(Output::message(to, Message::Cede { number: roster.number, rows }));
         }
+        for to in roster.members.keys().copied().filter(|member| *member != me) {
+            self.tell_records(to, out);
+        }
+        for (from, message) in std::mem::take(&mut self.early) {
+            self.peer(now, from, message, out);
+        }
         self.drain_queues(now, out);
     }
 
+    /// Tells a member of the records that it has to keep by the present roster.
+    fn tell_records(&self, to: u64, out: &mut Vec<Output>) {
+        let Some(roster) = self.tenure.roster() else { return };
+        let number = roster.number;
+        if !roster.previous.contains(&self.tenure.me()) {
+            return;
+        }
+        for part in self.ledger.rows(roster, to) {
+            out.push(Output::message(to, Message::Records { number, part }));
+        }
+    }
+
+    /// Answers a member that misses what the change of the roster should have brought it.
+    fn recalled(&self, from: u64, number: u64, out: &mut Vec<Output>) {
+        if number != self.tenure.number() {
+            return;
+        }
+        if self.tenure.cession().to.contains(&from) {
+            // What was out went with the first cession; what is repeated is that nothing more is.
+            out.push(Output::message(from, Message::Cede { number, rows: Vec::new() }));
+        }
+        self.tell_records(from, out);
+    }
+
     /// Gives up the state of upstreams that others own now, by their owners.
     fn surrender(&mut self, now: Now, roster: &Roster) -> BTreeMap<u64, Vec<Ceded>> {
         let mut rows: BTreeMap<u64, Vec<Ceded>> = BTreeMap::new();
@@ -147,7 +185,7 @@
         serial
     }
 
-    fn next_serial(&mut self) -> u64 {
+    pub(super) fn next_serial(&mut self) -> u64 {
         self.asks.next += 1;
         // The member's identity keeps serials of different members apart.
         base::hash::mix(self.tenure.me().wrapping_add(self.asks.next))
@@ -199,6 +237,14 @@
 
     /// Takes a message of a peer.
     pub(super) fn peer(&mut self, now: Now, from: u64, message: Message, out: &mut Vec<Output>) {
+        // What belongs to a roster that is not known here yet waits for it.
+        if let Message::Cede { number, .. } | Message::Records { number, .. } = &message
+            && *number > self.tenure.number()
+        {
+            self.early.push((from, message));
+            self.early.truncate(MOST_EARLY);
+            return;
+        }
         match message {
             Message::Ask { upstream, serial } => self.asked(now, from, upstream, serial, out),
             Message::Grant { upstream, serial } => self.granted(now, from, upstream, serial, out),
@@ -213,6 +259,21 @@
                 }
             }
             Message::Cede { number, rows } => self.ceded(now, from, number, &rows, out),
+            Message::Claim { key, serial, number } => {
+                self.claimed(now, from, (key, serial, number), out);
+            }
+            Message::Claimed { key, serial, verdict } => {
+                self.claim_answered(now, from, key, serial, verdict, out);
+            }
+            Message::Settled { key, serial, state } => {
+                self.ledger.settle(now.at, Asked { key, by: from, serial }, state);
+            }
+            Message::Records { number, part } => {
+                if number == self.tenure.number() {
+                    self.ledger.take_over(now.at, from, &part);
+                }
+            }
+            Message::Recall { number } => self.recalled(from, number, out),
             Message::Down { upstream } => self.told_down(now, upstream),
         }
     }
--- a/crates/policy/src/engine/fleet.rs
+++ b/crates/policy/src/engine/fleet.rs
@@ -7,7 +7,7 @@
 use crate::Now;
 use crate::balance::Chooser;
 use crate::member;
-use crate::message::{Digest, Frame, News};
+use crate::message::{Digest, Frame, Message, News};
 use crate::roster::{Member, Roster};
 use crate::upstream::{Event, State};
 
@@ -21,6 +21,8 @@
 const ALONE: Span = Span::seconds(30);
 /// Time that each further member waits before it proposes a roster.
 const PROPOSE_STEP: Span = Span::millis(500);
+/// Time between asking members again for what they have to tell.
+const RECALL: Span = Span::seconds(2);
 /// Time between two proposals of one member.
 const PROPOSE_PAUSE: Span = Span::seconds(2);
 
@@ -39,6 +41,8 @@
     started: Option<Moment>,
     /// When the store is to be asked at the earliest.
     confirm_at: Moment,
+    /// When members are to be asked again for what they have to tell.
+    recall_at: Moment,
     /// When a proposal is to be made at the earliest.
     propose_at: Option<Moment>,
     /// Whether this member leaves.
@@ -156,6 +160,7 @@
         self.probe(now, out);
         self.gossip.age(now.at, &self.charts);
         self.confirm(now, out);
+        self.recall(now, out);
         let alone = !self.fleet.heard && now.at.since(started) >= ALONE;
         self.propose(now, alone, out);
     }
@@ -173,6 +178,19 @@
         }
     }
 
+    /// Asks members once more for what they had to tell when the roster changed.
+    fn recall(&mut self, now: Now, out: &mut Vec<Output>) {
+        let Some(roster) = self.tenure.roster() else { return };
+        if now.at < self.fleet.recall_at || roster.number == 1 {
+            return;
+        }
+        self.fleet.recall_at = now.at + RECALL;
+        let number = roster.number;
+        for member in self.ledger.silent(self.tenure.me(), roster) {
+            out.push(Output::message(member, Message::Recall { number }));
+        }
+    }
+
     fn confirm(&mut self, now: Now, out: &mut Vec<Output>) {
         let age = now.at.since(self.tenure.confirmed_at());
         let unknown = self.tenure.number() == 0;
--- a/crates/policy/src/engine/outcome.rs
+++ b/crates/policy/src/engine/outcome.rs
@@ -67,13 +67,17 @@
             Action::RetryFree => self.retry_free(now, attempt, out),
             Action::Pass => self.pass(call, out),
             Action::PassOrRetry => self.pass_or_retry(now, attempt, out),
-            Action::RefuseLate => self.refuse(call, Refusal::LateUnsent, Outcome::NotRun, out),
-            Action::ReportUnknown => self.refuse(call, Refusal::LateSent, Outcome::Unknown, out),
+            Action::RefuseLate => self.refuse(now, call, Refusal::LateUnsent, Outcome::NotRun, out),
+            Action::ReportUnknown => {
+                self.refuse(now, call, Refusal::LateSent, Outcome::Unknown, out);
+            }
             Action::Forget => {
-                self.stats.cut += u64::from(self.end_call(call).is_some());
+                let outcome = self.fate(attempt);
+                self.stats.cut += u64::from(self.end_call(now, call, outcome, out).is_some());
             }
             Action::Finish => {
-                self.stats.complete += u64::from(self.end_call(call).is_some());
+                let ended = self.end_call(now, call, Outcome::Ran, out);
+                self.stats.complete += u64::from(ended.is_some());
             }
             Action::Credit => self.credit(now, attempt, out),
             Action::BlameConnect => self.blame_connect(now, attempt.upstream, out),
@@ -88,6 +92,16 @@
         }
     }
 
+    /// Returns what is known of a call's request once its last attempt has ended.
+    fn fate(&self, attempt: &Attempt) -> Outcome {
+        let before = self.calls.get(attempt.call).is_some_and(|call| call.may_have_run);
+        match attempt.state {
+            State::Cut | State::Complete | State::Answering => Outcome::Ran,
+            State::NotRun | State::Ready if !before => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        }
+    }
+
     /// Tries a call again if its nature, its budget and its deadline permit.
     fn retry(&mut self, now: Now, attempt: &Attempt, ran: Outcome, out: &mut Vec<Output>) {
         let Some(call) = self.calls.get_mut(attempt.call) else { return };
@@ -100,10 +114,10 @@
             return self.place(now, attempt.call, out);
         }
         let refusal = match ran {
-            Outcome::Unknown => Refusal::Broken,
+            Outcome::Unknown | Outcome::Ran => Refusal::Broken,
             Outcome::NotRun => Refusal::Attempts,
         };
-        self.refuse(attempt.call, refusal, ran, out);
+        self.refuse(now, attempt.call, refusal, ran, out);
     }
 
     /// Tells whether a call may be tried again and charges its budget if so.
@@ -129,7 +143,7 @@
         if call.attempts < MOST_ATTEMPTS && now.at < call.request.deadline && !self.stopping {
             return self.place(now, attempt.call, out);
         }
-        self.refuse(attempt.call, Refusal::Attempts, Outcome::NotRun, out);
+        self.refuse(now, attempt.call, Refusal::Attempts, Outcome::NotRun, out);
     }
 
     fn pass(&mut self, call: key::Call, out: &mut Vec<Output>) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balance;
 pub mod call;
 pub mod charts;
+pub mod claim;
 pub mod engine;
 pub mod gossip;
 pub mod member;
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use crate::claim;
 use crate::quota;
 use crate::roster::{Member, Roster};
 
@@ -83,6 +84,45 @@
             /// What the sender had granted of it.
             rows: Vec<Ceded>,
         },
+        /// Asks a home of an idempotency key whether a request may run.
+        Claim {
+            /// The key.
+            key: u64,
+            /// The asker's mark.
+            serial: u64,
+            /// Number of the roster by which the home was chosen.
+            number: u64,
+        },
+        /// Answers a claim.
+        Claimed {
+            /// The key.
+            key: u64,
+            /// The asker's mark.
+            serial: u64,
+            /// What the home says.
+            verdict: claim::Verdict,
+        },
+        /// Tells a home what became of a claimed request; nothing if it has not run.
+        Settled {
+            /// The key.
+            key: u64,
+            /// The sender's mark.
+            serial: u64,
+            /// What is known of the request.
+            state: Option<claim::State>,
+        },
+        /// Tells a member of the records that it has to keep by a new roster.
+        Records {
+            /// Number of the roster.
+            number: u64,
+            /// A part of them.
+            part: claim::Part,
+        },
+        /// Asks a member for its records and its cession once more.
+        Recall {
+            /// Number of the roster.
+            number: u64,
+        },
         /// Tells the owner that connections to its upstream fail.
         Down {
             /// The upstream's identity.
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -88,6 +88,7 @@
     held_before: bool,
     ceded: BTreeSet<u64>,
     consents: BTreeMap<u64, Moment>,
+    cession: Cession,
 }
 
 /// What a member that adopts a roster has to tell others.
@@ -109,6 +110,7 @@
             held_before: false,
             ceded: BTreeSet::new(),
             consents: BTreeMap::new(),
+            cession: Cession::default(),
         }
     }
 
@@ -139,17 +141,11 @@
     /// Adopts a roster that was current at some time after `asked_at`, if it is newer.
     ///
     /// `linger` is how long the effects of an owner may last once its right has ended. Returns
-    /// whom this member has to tell that it has stopped acting for what they own now.
-    pub fn adopt(
-        &mut self,
-        now: Moment,
-        asked_at: Moment,
-        roster: &Roster,
-        linger: Span,
-    ) -> Option<Cession> {
+    /// whether the roster was newer.
+    pub fn adopt(&mut self, now: Moment, asked_at: Moment, roster: &Roster, linger: Span) -> bool {
         if roster.number <= self.number() {
             self.confirm_number(asked_at, roster.number);
-            return None;
+            return false;
         }
         let straight = self.number() + 1 == roster.number;
         let settled = straight && self.is_settled(now, linger) && now < self.valid_until();
@@ -161,7 +157,14 @@
         self.confirmed_at = self.confirmed_at.max(asked_at);
         self.ceded.clear();
         self.consents.clear();
-        Some(Cession { to })
+        self.cession = Cession { to };
+        true
+    }
+
+    /// Returns whom this member has to tell that it acts no more for what they own now.
+    #[must_use]
+    pub fn cession(&self) -> &Cession {
+        &self.cession
     }
 
     /// Returns the members that may own under `next` what this one owns now.
@@ -263,7 +266,7 @@
 }
 
 /// Returns members in the order in which they would own the thing.
-fn rank(members: impl Iterator<Item = u64>, ident: u64) -> impl Iterator<Item = u64> {
+pub(crate) fn rank(members: impl Iterator<Item = u64>, ident: u64) -> impl Iterator<Item = u64> {
     let mut order: Vec<(u64, u64)> =
         members.map(|member| (mix(member ^ mix(ident)), member)).collect();
     order.sort_unstable_by(|one, other| other.cmp(one));
--- a/crates/policy/tests/attempt.rs
+++ b/crates/policy/tests/attempt.rs
@@ -71,6 +71,7 @@
             idempotent,
             replayable: true,
             deadline: Moment(5_000_000),
+            key: None,
             digest: 1,
         }));
         case
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -115,6 +115,8 @@
     pub frames: u64,
     /// Requests run by upstreams, by token.
     pub runs: BTreeMap<u64, u32>,
+    /// Keys of calls, by token.
+    pub keys: BTreeMap<u64, u64>,
     roster: Roster,
     config: Config,
     idents: Vec<u64>,
@@ -137,6 +139,7 @@
             store_calls: 0,
             frames: 0,
             runs: BTreeMap::new(),
+            keys: BTreeMap::new(),
             roster: Roster::default(),
             config,
             idents: Vec::new(),
@@ -222,8 +225,20 @@
 
     /// Gives an entry a call and returns its token.
     pub fn call(&mut self, entry: usize, idempotent: bool, patience: Span) -> u64 {
+        self.call_keyed(entry, idempotent, patience, None)
+    }
+
+    /// Gives an entry a call that may run once and has an idempotency key.
+    pub fn call_keyed(
+        &mut self,
+        entry: usize,
+        idempotent: bool,
+        patience: Span,
+        key: Option<u64>,
+    ) -> u64 {
         self.token += 1;
         let token = self.token;
+        self.keys.extend(key.map(|key| (token, key)));
         let Some(engine) = &self.entries[entry] else { return token };
         let service = engine.catalog().service("seal").expect("a service");
         let request = Request {
@@ -234,6 +249,7 @@
             idempotent,
             replayable: true,
             deadline: self.now + patience,
+            key,
             digest: token,
         };
         self.input(entry, Input::Request(request));
@@ -267,6 +283,12 @@
         }
     }
 
+    /// Returns how often requests with a key ran.
+    pub fn runs_of(&self, key: u64) -> u32 {
+        let tokens = self.keys.iter().filter(|(_, one)| **one == key).map(|(token, _)| token);
+        tokens.filter_map(|token| self.runs.get(token)).sum()
+    }
+
     /// Returns how many calls ended in the given way.
     pub fn count(&self, test: impl Fn(&End) -> bool) -> usize {
         self.ends.values().filter(|end| test(end)).count()
