Refuse requests that break upstreams and leave silent connections

Cause: a request that crashes each upstream is sent again by its caller and retried by every entry; an open connection can go silent for good.

Change: a request in flight at two upstreams that broke is refused by every entry, until a whole answer clears it; only its digest is suspected, not its workspace or route. News that cannot wait go to all members at once and in rounds to those missed. An idempotent attempt without an answer for ten expected times is given up for one on a new connection, within the budget of retries; the idle connections of that upstream are retired. One that may run once uses a connection proven within 500 ms or a new one.

--- a/crates/entry/src/admin/meter.rs
+++ b/crates/entry/src/admin/meter.rs
@@ -59,6 +59,9 @@
     counter!("nutmegwharf_grants_asked_total").absolute(stats.asked);
     counter!("nutmegwharf_grants_given_total").absolute(stats.granted);
     counter!("nutmegwharf_cold_starts_total").absolute(stats.cold_starts);
+    counter!("nutmegwharf_harmful_total").absolute(stats.harmful);
+    counter!("nutmegwharf_hedged_total").absolute(stats.hedged);
+    gauge!("nutmegwharf_key_records").set(state.engine.keys as f64);
     gauge!("nutmegwharf_config_number").set(state.engine.number as f64);
     gauge!("nutmegwharf_open_calls").set(state.engine.calls as f64);
     gauge!("nutmegwharf_upstream_connections").set(state.connections as f64);
--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::idle::Link;
-use crate::steer::{Happened, Message, Way};
+use crate::steer::{Happened, Way};
 
 /// A body that could not be passed on whole.
 #[derive(Debug, Display, Error, From)]
@@ -233,13 +233,8 @@
     /// Reports the end of the exchange, unless it was reported before.
     pub fn end(&mut self, event: Event) {
         let Some(link) = self.link.take() else { return };
-        let kept = if event == Event::End && self.keep {
-            Some(link)
-        } else {
-            // Dropping the way to the connection closes it, which cancels the exchange.
-            self.steer.post(Message::Closed(link.key));
-            None
-        };
+        // Dropping the way to the connection closes it, which cancels the exchange.
+        let kept = Some(link).filter(|_| event == Event::End && self.keep);
         let happened = Happened::new(self.token, self.attempt, event);
         self.steer.report(Happened { link: kept, ..happened });
     }
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -89,9 +89,14 @@
         mut directive: oneshot::Receiver<Directive>,
     ) -> Result<Response<Answer>, Problem> {
         let mut passed: Option<Passed> = None;
+        let mut told: Option<Directive> = None;
         loop {
-            match directive.await.map_err(|_| Problem::Gone)? {
-                Directive::Unknown => return Err(Problem::UnknownService),
+            let next = match told.take() {
+                Some(next) => next,
+                None => (&mut directive).await.map_err(|_| Problem::Gone)?,
+            };
+            match next {
+                Directive::Unknown | Directive::Continue => return Err(Problem::UnknownService),
                 Directive::Refuse { refusal, outcome, retry_after } => {
                     return Ok(Problem::Refused(refusal).answer(outcome, Some(retry_after)));
                 }
@@ -103,6 +108,7 @@
                     let request = outgoing(&head, &mut kept, &target, deadline)?;
                     match self.attempt(target, request, &mut kept, deadline).await {
                         Next::Answer(passed) => return Ok(relay(passed)),
+                        Next::Go(next) => told = Some(next),
                         Next::Ask(receiver, kept_back) => {
                             directive = receiver;
                             passed = kept_back;
@@ -121,12 +127,25 @@
         kept: &mut Kept,
         deadline: Instant,
     ) -> Next {
-        let Target { token, attempt, upstream, name, address, link, .. } = target;
+        let Target { token, attempt, upstream, name, address, link, hedge_after, .. } = target;
         let steer = self.steer.clone();
         let tracker = Exchange { steer: steer.clone(), token, attempt, link: None, keep: true };
         let mut guard = Guard { steer, token, attempt, live: true };
+        let silent = if link.is_some() { Event::Silent } else { Event::SilentNew };
         let work = exchange(&self.steer, tracker, upstream, address, link, request);
-        let result = timeout_at(deadline, work).await;
+        let mut work = std::pin::pin!(work);
+        let hedge_at = hedge_after.map_or(deadline, |span| Instant::now() + span.into());
+        let mut result = timeout_at(hedge_at.min(deadline), work.as_mut()).await;
+        if result.is_err() && hedge_at < deadline {
+            match self.weigh_another(token, attempt, silent).await {
+                Some(directive) => {
+                    // The decisions have given the attempt up, so it is reported no more.
+                    guard.live = false;
+                    return Next::Go(directive);
+                }
+                None => result = timeout_at(deadline, work).await,
+            }
+        }
         guard.live = false;
         let passed = |response, exchange| Passed { response, name, exchange, deadline };
         let (event, report, kept_back) = match result {
@@ -153,6 +172,22 @@
         Next::Ask(receiver, kept_back)
     }
 
+    /// Lets the decisions weigh another attempt; returns nothing if this one goes on.
+    async fn weigh_another(
+        &self,
+        token: u64,
+        attempt: key::Attempt,
+        silent: Event,
+    ) -> Option<Directive> {
+        let (reply, receiver) = oneshot::channel();
+        let happened = Happened::new(token, attempt, silent);
+        self.steer.report(Happened { reply: Some(reply), ..happened });
+        match receiver.await {
+            Ok(Directive::Continue) | Err(_) => None,
+            Ok(directive) => Some(directive),
+        }
+    }
+
     /// Reads a short body whole; a longer one stays with the caller.
     async fn keep(&self, body: Incoming, read_by: Instant) -> Result<Kept, Problem> {
         let size = body.size_hint();
@@ -183,6 +218,8 @@
 enum Next {
     /// The answer is passed on.
     Answer(Passed),
+    /// The decisions have given the attempt up and said what to do.
+    Go(Directive),
     /// The decisions have to say, perhaps with an answer kept back meanwhile.
     Ask(oneshot::Receiver<Directive>, Option<Passed>),
 }
--- a/crates/entry/src/front/exchange.rs
+++ b/crates/entry/src/front/exchange.rs
@@ -18,7 +18,7 @@
 use super::body::{Exchange, Outgoing};
 use crate::header;
 use crate::idle::Link;
-use crate::steer::{Happened, Message, Opened, Way};
+use crate::steer::{Happened, Opened, Way};
 
 /// Time to open a connection.
 const CONNECT_TIME: Duration = Duration::from_millis(1_000);
@@ -79,16 +79,13 @@
         },
     };
     if link.sender.ready().await.is_err() {
-        steer.post(Message::Closed(link.key));
         return Head::Failed { event: Event::NeverSent, request: Some(request) };
     }
     steer.report(Happened::new(tracker.token, tracker.attempt, Event::Sent));
     let head = request.method() == Method::HEAD;
-    let connection = link.key;
     match link.sender.try_send_request(request).await {
         Ok(response) => judge(&mut tracker, link, response, head).finish(tracker),
         Err(mut error) => {
-            steer.post(Message::Closed(connection));
             let request = error.take_message();
             let event = if request.is_some() { Event::NeverSent } else { Event::Broken };
             Head::Failed { event, request }
@@ -117,15 +114,12 @@
 /// Judges the head of an answer and hands the connection to the exchange if a body follows.
 fn judge(tracker: &mut Exchange, link: Link, response: Response<Incoming>, head: bool) -> Judged {
     let report = header::report(response.headers());
-    let close = |link: Link| tracker.steer.post(Message::Closed(link.key));
     if !is_ours(&response, tracker.attempt) || !is_framed(&response, head) {
-        close(link);
         return Judged::Broken;
     }
     let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
         && header::text(response.headers(), &header::NOT_RUN) == Some("1");
     if refused {
-        close(link);
         return Judged::Refused(report);
     }
     let good = !response.status().is_server_error();
@@ -162,5 +156,5 @@
     // The connection's task owns the socket and ends with it.
     tokio::spawn(connection);
     let key = steer.ask(Opened(upstream)).await.ok()?;
-    Some(Link { key, sender })
+    Some(Link { key, sender, steer: steer.clone() })
 }
--- a/crates/entry/src/idle.rs
+++ b/crates/entry/src/idle.rs
@@ -4,9 +4,11 @@
 
 use base::prelude::*;
 use hyper::client::conn::http1::SendRequest;
+use policy::call::Reuse;
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::front::body::Outgoing;
+use crate::steer::{Message, Way};
 
 /// Age up to which an idle connection counts as recently proven.
 const PROVEN: Span = Span::millis(500);
@@ -22,6 +24,15 @@
     pub key: key::Connection,
     /// The way to the connection's task.
     pub sender: SendRequest<Outgoing>,
+    /// The way to the task that counts connections.
+    pub steer: Way,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        // The connection's task ends with the way to it.
+        self.steer.post(Message::Closed(self.key));
+    }
 }
 
 /// Idle connections of one entry.
@@ -49,13 +60,16 @@
         self.connections.remove(connection);
     }
 
-    /// Takes the connection that was used last; with `proven`, only a recently proven one.
-    pub fn take(&mut self, now: Moment, upstream: key::Upstream, proven: bool) -> Option<Link> {
+    /// Takes the connection that was used last, if it may be used.
+    pub fn take(&mut self, now: Moment, upstream: key::Upstream, reuse: Reuse) -> Option<Link> {
         let free = self.free.get_mut(upstream)?;
-        let bound = if proven { PROVEN } else { STALE };
+        let bound = match reuse {
+            Reuse::Any => STALE,
+            Reuse::Proven => PROVEN,
+            Reuse::None => return None,
+        };
         while let Some(newest) = free.pop_back() {
             if newest.link.sender.is_closed() {
-                self.connections.remove(newest.link.key);
                 continue;
             }
             if now.since(newest.since) < bound {
@@ -70,8 +84,8 @@
 
     /// Takes back a connection after a whole exchange.
     pub fn put(&mut self, now: Moment, link: Link) {
-        let Some(upstream) = self.connections.get(link.key).copied() else { return };
-        if let Some(free) = self.free.entry(upstream) {
+        let upstream = self.connections.get(link.key).copied();
+        if let Some(free) = upstream.and_then(|upstream| self.free.entry(upstream)) {
             free.or_default().push_back(Free { link, since: now });
         }
     }
@@ -80,9 +94,7 @@
     pub fn retire(&mut self, upstream: key::Upstream, moment: Moment) {
         let Some(free) = self.free.get_mut(upstream) else { return };
         while free.front().is_some_and(|oldest| oldest.since <= moment) {
-            if let Some(oldest) = free.pop_front() {
-                self.connections.remove(oldest.link.key);
-            }
+            free.pop_front();
         }
     }
 
--- a/crates/entry/src/steer.rs
+++ b/crates/entry/src/steer.rs
@@ -183,6 +183,8 @@
             Output::Refuse { token, refusal, outcome, retry_after } => {
                 self.reply(token, Directive::Refuse { refusal, outcome, retry_after });
             }
+            Output::Continue { token } => self.reply(token, Directive::Continue),
+            Output::Retire { upstream } => self.idle.retire(upstream, now.at),
             Output::Pass { token } => self.reply(token, Directive::Pass),
             Output::Send { to, frame } => self.peers(|peers| post(peers, Deliver { to, frame })),
             Output::Hail { frame } => self.peers(|peers| post(peers, Hail(frame))),
@@ -212,11 +214,11 @@
     ) -> Target {
         let known = &self.engine.catalog().upstreams[upstream];
         let request = self.engine.request(attempt);
-        let proven = !request.is_some_and(|request| request.idempotent);
         let deadline = request.map_or(now.at, |request| request.deadline);
-        let link = self.idle.take(now.at, upstream, proven);
+        let link = self.idle.take(now.at, upstream, self.engine.reuse(attempt));
+        let hedge_after = self.engine.hedge_after(attempt);
         let (name, address) = (known.name.clone(), known.address);
-        Target { token, deadline, attempt, upstream, name, address, link }
+        Target { token, deadline, attempt, upstream, name, address, link, hedge_after }
     }
 
     fn reply(&mut self, token: u64, directive: Directive) {
--- a/crates/entry/src/steer/lane.rs
+++ b/crates/entry/src/steer/lane.rs
@@ -86,6 +86,8 @@
 pub enum Directive {
     /// Sends it to an upstream.
     Send(Target),
+    /// Goes on waiting for the attempt's answer.
+    Continue,
     /// Passes the answer on.
     Pass,
     /// Answers that the service is not known.
@@ -118,6 +120,8 @@
     pub address: SocketAddr,
     /// An open connection, if a usable one is idle.
     pub link: Option<Link>,
+    /// Time without an answer after which another attempt is weighed.
+    pub hedge_after: Option<Span>,
 }
 
 /// A way into the decisions' task.
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -41,6 +41,10 @@
         End = "end",
         /// The connection broke or the answer is not well formed.
         Broken = "broken",
+        /// No answer has begun for longer than usual, on a connection used before.
+        Silent = "silent",
+        /// No answer has begun for longer than usual, on a new connection.
+        SilentNew = "silent-new",
         /// The deadline passed.
         Late = "late",
         /// The caller left.
@@ -59,6 +63,12 @@
         RetryIdempotent = "retry-idempotent",
         /// Tries again if idempotent and within the budget, else passes the answer on.
         PassOrRetry = "pass-or-retry",
+        /// Gives the attempt up for another one if idempotent and within the budget.
+        Hedge = "hedge",
+        /// Retires idle connections, which may be silent too.
+        Retire = "retire",
+        /// Suspects the request of having broken the upstream.
+        Accuse = "accuse",
         /// Passes the answer on.
         Pass = "pass",
         /// Tells the caller that the deadline passed before anything was sent.
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -41,6 +41,8 @@
         pub failed: Vec<key::Upstream>,
         /// The version that its traffic share assigned, which retries keep.
         pub version: Option<key::Version>,
+        /// Whether a connection went silent under it, so that it takes new ones only.
+        pub silenced: bool,
         /// Whether some attempt may have run.
         pub may_have_run: bool,
         /// The claim of its key, if it has one that needs a claim.
@@ -50,6 +52,18 @@
     }
 }
 
+symbols! {
+    /// Which open connections an attempt may use.
+    pub enum Reuse {
+        /// Any.
+        Any = "any",
+        /// One that was in use a moment ago.
+        Proven = "proven",
+        /// None: it opens a new one.
+        None = "none",
+    }
+}
+
 symbols! {
     /// What a refusal says of whether the request has run.
     pub enum Outcome {
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -25,6 +25,7 @@
 use crate::call::{Call, Outcome, Refusal, Request};
 use crate::claim::Ledger;
 use crate::gossip::Gossip;
+use crate::harm::Suspects;
 use crate::message::{Frame, Message, News};
 use crate::queue::Queue;
 use crate::quota::Allotment;
@@ -112,6 +113,16 @@
         /// When to try again.
         retry_after: Span,
     },
+    /// The request goes on as it is.
+    Continue {
+        /// The front's mark.
+        token: u64,
+    },
+    /// Idle connections to an upstream may be silent.
+    Retire {
+        /// The upstream.
+        upstream: key::Upstream,
+    },
     /// The answer may be passed on.
     Pass {
         /// The front's mark.
@@ -168,6 +179,10 @@
     pub granted: u64,
     /// Cold starts announced.
     pub cold_starts: u64,
+    /// Requests refused because they break upstreams.
+    pub harmful: u64,
+    /// Attempts given up because no answer began in time, in favour of another.
+    pub hedged: u64,
 }
 
 /// The state of one entry.
@@ -187,6 +202,7 @@
     allotments: BTreeMap<u64, Allotment>,
     asks: cold::Asks,
     ledger: Ledger,
+    suspects: Suspects,
     claims: BTreeMap<u64, key::Call>,
     early: Vec<(u64, Message)>,
     out_domains: Vec<key::Domain>,
@@ -217,6 +233,7 @@
             allotments: BTreeMap::new(),
             asks: cold::Asks::default(),
             ledger: Ledger::default(),
+            suspects: Suspects::default(),
             claims: BTreeMap::new(),
             early: Vec::new(),
             out_domains: Vec::new(),
@@ -377,7 +394,8 @@
                 // Odd numbers are cold starts, so the next odd one is a new cold start.
                 upstream.epoch += 1 + upstream.epoch % 2;
                 self.stats.cold_starts += 1;
-                self.gossip.spread(News::Thermal { upstream: ident, epoch: upstream.epoch });
+                let news = News::Thermal { upstream: ident, epoch: upstream.epoch };
+                self.tell_all(news, out);
                 self.reset_allotment(key);
             }
             upstream::Action::AnnounceWarm => {
@@ -385,7 +403,8 @@
                 self.gossip.spread(News::Thermal { upstream: ident, epoch: upstream.epoch });
             }
             upstream::Action::SpreadDrain => {
-                self.gossip.spread(News::Drain { upstream: ident, epoch: upstream.epoch });
+                let news = News::Drain { upstream: ident, epoch: upstream.epoch };
+                self.tell_all(news, out);
             }
             upstream::Action::BackOff => upstream.back_off(now.at),
             upstream::Action::ReportDown => self.report_down(now, ident, out),
--- a/crates/policy/src/engine/calls.rs
+++ b/crates/policy/src/engine/calls.rs
@@ -6,7 +6,7 @@
 use crate::Now;
 use crate::attempt::{self, Attempt};
 use crate::balance::{Candidate, Chooser};
-use crate::call::{Call, Outcome, Refusal, Request};
+use crate::call::{Call, Outcome, Refusal, Request, Reuse};
 use crate::queue::{Push, Ticket};
 use crate::upstream::State;
 
@@ -16,6 +16,10 @@
 const AWAY_COST: f64 = 500.0;
 /// Service time that is assumed while nothing is known, in microseconds.
 const ASSUMED_SERVICE: f64 = 5_000.0;
+/// Expected times of a call after which another attempt is weighed.
+const HEDGE_FACTOR: f64 = 10.0;
+/// Time after which another attempt is weighed at the earliest.
+const HEDGE_LEAST: Span = Span::millis(100);
 /// Time after which to try again when calls wait too long.
 const RETRY_AFTER: Span = Span::seconds(1);
 
@@ -23,6 +27,10 @@
     /// Admits a request: grants it an upstream, lets it wait, or refuses it.
     pub(super) fn admit(&mut self, now: Now, request: Request, out: &mut Vec<Output>) {
         self.stats.requests += 1;
+        if self.suspects.is_harmful(now.at, request.digest) {
+            self.stats.harmful += 1;
+            return self.refuse_request(&request, Refusal::Harmful, out);
+        }
         if let Err(refusal) = self.admissible(&request) {
             return self.refuse_request(&request, refusal, out);
         }
@@ -40,6 +48,7 @@
             attempts: 0,
             failed: Vec::new(),
             version: None,
+            silenced: false,
             may_have_run: false,
             claim: None,
             waiting: false,
@@ -148,6 +157,32 @@
         times.get(times.len() / 2).copied().unwrap_or(ASSUMED_SERVICE)
     }
 
+    /// Returns how long an attempt waits for the head of an answer before another one is weighed.
+    ///
+    /// Only requests that may run more than once get another attempt meanwhile.
+    #[must_use]
+    pub fn hedge_after(&self, attempt: key::Attempt) -> Option<Span> {
+        let attempt = self.attempts.get(attempt)?;
+        let call = self.calls.get(attempt.call)?;
+        let known = self.catalog.upstreams.get(attempt.upstream)?;
+        let slots = f64::from(self.catalog.services[known.service].slots.max(1));
+        let service = self.upstreams.get(attempt.upstream)?.gauge.service.max(ASSUMED_SERVICE);
+        let expected = service * ((attempt.ahead + 1.0) / slots).max(1.0);
+        let bound = Span(expected as u64).scale(HEDGE_FACTOR).max(HEDGE_LEAST);
+        call.request.idempotent.then_some(bound)
+    }
+
+    /// Returns which open connections an attempt may use.
+    #[must_use]
+    pub fn reuse(&self, attempt: key::Attempt) -> Reuse {
+        let call = self.attempts.get(attempt).and_then(|attempt| self.calls.get(attempt.call));
+        match call {
+            Some(call) if call.silenced => Reuse::None,
+            Some(call) if call.request.idempotent => Reuse::Any,
+            _ => Reuse::Proven,
+        }
+    }
+
     /// Starts an attempt at a chosen upstream.
     pub(super) fn grant(
         &mut self,
--- a/crates/policy/src/engine/cold.rs
+++ b/crates/policy/src/engine/cold.rs
@@ -273,8 +273,9 @@
                     self.ledger.take_over(now.at, from, &part);
                 }
             }
+            Message::Urgent(news) => self.hear(now, news, out),
             Message::Recall { number } => self.recalled(from, number, out),
-            Message::Down { upstream } => self.told_down(now, upstream),
+            Message::Down { upstream } => self.told_down(now, upstream, out),
         }
     }
 
@@ -387,29 +388,30 @@
                 out.push(Output::message(owner, Message::Down { upstream }));
             }
             // The owner's own failed connects are proof enough of a restart to come.
-            Some(_) => self.announce_restart(upstream),
+            Some(_) => self.announce_restart(upstream, out),
             None => {}
         }
     }
 
-    fn announce_restart(&mut self, ident: u64) {
+    fn announce_restart(&mut self, ident: u64, out: &mut Vec<Output>) {
         let Some(key) = self.catalog.upstream_ident(ident) else { return };
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         if upstream.epoch % 2 == 0 {
             upstream.epoch += 1;
             self.stats.cold_starts += 1;
-            self.gossip.spread(News::Thermal { upstream: ident, epoch: upstream.epoch });
+            let news = News::Thermal { upstream: ident, epoch: upstream.epoch };
+            self.tell_all(news, out);
         }
         self.reset_allotment(key);
     }
 
     /// Takes a peer's report of failed connects for true if this owner has met some itself.
-    fn told_down(&mut self, now: Now, ident: u64) {
+    fn told_down(&mut self, now: Now, ident: u64, out: &mut Vec<Output>) {
         let Some(key) = self.catalog.upstream_ident(ident) else { return };
         let Some(upstream) = self.upstreams.get(key) else { return };
         let down = upstream.state == State::Down || upstream.refusals > 0;
         if down && self.may_own(now, key) {
-            self.announce_restart(ident);
+            self.announce_restart(ident, out);
         }
     }
 }
--- a/crates/policy/src/engine/dump.rs
+++ b/crates/policy/src/engine/dump.rs
@@ -32,6 +32,8 @@
     pub waiting: BTreeMap<String, usize>,
     /// Calls in progress or waiting.
     pub calls: usize,
+    /// Digests of requests that are refused because they break upstreams.
+    pub harmful: Vec<u64>,
     /// Records of idempotency keys.
     pub keys: usize,
     /// Failure domains that are out.
@@ -85,6 +87,7 @@
             upstreams: self.catalog.upstreams.keys().map(|key| self.dump_one(now, key)).collect(),
             waiting: waiting.collect(),
             calls: self.calls.len(),
+            harmful: self.suspects.harmful(now.at),
             keys: self.ledger.len(),
             out: self.out_domains.iter().filter_map(name).collect(),
             stats: self.stats,
--- a/crates/policy/src/engine/fleet.rs
+++ b/crates/policy/src/engine/fleet.rs
@@ -245,10 +245,28 @@
         roster.ranked(roster.number).take_while(|ident| *ident != me).filter(lives).count()
     }
 
+    /// Tells every member at once, and passes the news on in rounds for those it does not reach.
+    pub(super) fn tell_all(&mut self, news: News, out: &mut Vec<Output>) {
+        self.gossip.spread(news);
+        for member in self.gossip.members().keys() {
+            out.push(Output::message(*member, Message::Urgent(news)));
+        }
+    }
+
     /// Takes in news of a peer and passes on what was new.
-    fn hear(&mut self, now: Now, news: News, out: &mut Vec<Output>) {
+    pub(super) fn hear(&mut self, now: Now, news: News, out: &mut Vec<Output>) {
         match news {
             News::Thermal { upstream, epoch } => self.hear_thermal(now, upstream, epoch, out),
+            News::Victim { digest, generation, upstream } => {
+                if self.suspects.hear(now.at, digest, generation, Some(upstream)) {
+                    self.gossip.spread(news);
+                }
+            }
+            News::Cleared { digest, generation } => {
+                if self.suspects.hear(now.at, digest, generation, None) {
+                    self.gossip.spread(news);
+                }
+            }
             News::Drain { upstream, epoch } => {
                 let Some(key) = self.catalog.upstream_ident(upstream) else { return };
                 let known = &self.upstreams[key];
--- a/crates/policy/src/engine/outcome.rs
+++ b/crates/policy/src/engine/outcome.rs
@@ -7,6 +7,7 @@
 use crate::attempt::{Action, Attempt, Event, State};
 use crate::balance::{Chooser, Report};
 use crate::call::{Outcome, Refusal};
+use crate::message::News;
 use crate::quota;
 use crate::retry::{Budget, MOST_ATTEMPTS};
 use crate::upstream::{self, FAILING_RUN, UNREACHABLE_RUN};
@@ -64,6 +65,9 @@
         match action {
             Action::Retry => self.retry(now, attempt, Outcome::NotRun, out),
             Action::RetryIdempotent => self.retry(now, attempt, Outcome::Unknown, out),
+            Action::Hedge => self.hedge(now, attempt, out),
+            Action::Retire => out.push(Output::Retire { upstream: attempt.upstream }),
+            Action::Accuse => self.accuse(now, attempt, out),
             Action::RetryFree => self.retry_free(now, attempt, out),
             Action::Pass => self.pass(call, out),
             Action::PassOrRetry => self.pass_or_retry(now, attempt, out),
@@ -76,6 +80,7 @@
                 self.stats.cut += u64::from(self.end_call(now, call, outcome, out).is_some());
             }
             Action::Finish => {
+                self.acquit(now, call);
                 let ended = self.end_call(now, call, Outcome::Ran, out);
                 self.stats.complete += u64::from(ended.is_some());
             }
@@ -92,6 +97,45 @@
         }
     }
 
+    /// Gives an attempt up for another one, or lets it go on.
+    fn hedge(&mut self, now: Now, attempt: &Attempt, out: &mut Vec<Output>) {
+        let key = attempt.call;
+        let Some(token) = self.calls.get(key).map(|call| call.request.token) else { return };
+        if !self.may_retry(now, key, Outcome::Unknown, false) {
+            return out.push(Output::Continue { token });
+        }
+        self.stats.hedged += 1;
+        self.drop_attempts(now, key, out);
+        if let Some(call) = self.calls.get_mut(key) {
+            call.failed.push(attempt.upstream);
+            call.may_have_run = true;
+            call.silenced = true;
+        }
+        self.forgive_if_all_failed(key);
+        self.place(now, key, out);
+    }
+
+    /// Suspects a request that was in flight when its exchange broke.
+    fn accuse(&mut self, now: Now, attempt: &Attempt, out: &mut Vec<Output>) {
+        let Some(request) = self.calls.get(attempt.call).map(|call| call.request) else { return };
+        let Some(upstream) = self.catalog.upstreams.get(attempt.upstream) else { return };
+        // Without its whole body a request cannot be told from others.
+        if !request.replayable {
+            return;
+        }
+        let (digest, upstream) = (request.digest, upstream.ident);
+        let generation = self.suspects.accuse(now.at, digest, upstream);
+        self.tell_all(News::Victim { digest, generation, upstream }, out);
+    }
+
+    /// Clears a request of suspicion after its whole answer.
+    fn acquit(&mut self, now: Now, call: key::Call) {
+        let Some(digest) = self.calls.get(call).map(|call| call.request.digest) else { return };
+        if let Some(generation) = self.suspects.clear(now.at, digest) {
+            self.gossip.spread(News::Cleared { digest, generation });
+        }
+    }
+
     /// Returns what is known of a call's request once its last attempt has ended.
     fn fate(&self, attempt: &Attempt) -> Outcome {
         let before = self.calls.get(attempt.call).is_some_and(|call| call.may_have_run);
@@ -128,6 +172,7 @@
             && (request.replayable || unread)
             && call.attempts < MOST_ATTEMPTS
             && now.at < request.deadline
+            && !self.suspects.is_harmful(now.at, request.digest)
             && !self.stopping;
         if !wanted {
             return false;
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -176,6 +176,11 @@
         | (News::Drain { upstream, epoch }, News::Drain { upstream: other, epoch: before }) => {
             upstream == other && epoch >= before
         }
+        (
+            News::Cleared { digest, generation },
+            News::Victim { digest: other, generation: before, .. }
+            | News::Cleared { digest: other, generation: before },
+        ) => digest == other && generation >= before,
         _ => false,
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod engine;
 pub mod gossip;
+pub mod harm;
 pub mod member;
 pub mod message;
 pub mod queue;
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -123,6 +123,8 @@
             /// Number of the roster.
             number: u64,
         },
+        /// Tells of something that must not wait for the next round.
+        Urgent(News),
         /// Tells the owner that connections to its upstream fail.
         Down {
             /// The upstream's identity.
@@ -150,6 +152,22 @@
             /// Count of cold starts and of their ends.
             epoch: u32,
         },
+        /// An upstream broke with a request in flight.
+        Victim {
+            /// Digest of the request.
+            digest: u64,
+            /// Count of answers that cleared the request before.
+            generation: u32,
+            /// The upstream's identity.
+            upstream: u64,
+        },
+        /// A suspected request was answered.
+        Cleared {
+            /// Digest of the request.
+            digest: u64,
+            /// Count of answers that cleared it, with this one.
+            generation: u32,
+        },
         /// An upstream leaves.
         Drain {
             /// The upstream's identity.
--- a/crates/policy/tests/attempt.rs
+++ b/crates/policy/tests/attempt.rs
@@ -12,7 +12,7 @@
 /// Events over all attempts of one call.
 const DEPTH: usize = 6;
 
-const EVENTS: [Event; 10] = [
+const EVENTS: [Event; 12] = [
     Event::ConnectFailed,
     Event::NeverSent,
     Event::Sent,
@@ -21,6 +21,8 @@
     Event::HeadFailed,
     Event::End,
     Event::Broken,
+    Event::Silent,
+    Event::SilentNew,
     Event::Late,
     Event::Left,
 ];
@@ -36,6 +38,8 @@
     answered: bool,
     /// The open attempt.
     attempt: Option<key::Attempt>,
+    /// Whether the open attempt was told to go on.
+    goes_on: bool,
     /// Answers to the caller.
     told: u32,
 }
@@ -100,6 +104,7 @@
                 let lie = *outcome == Outcome::NotRun && self.truth.may_have_run > 0;
                 assert!(!lie, "told as not run: {:?}", self.trail);
             }
+            Output::Continue { .. } => self.truth.goes_on = true,
             Output::Pass { .. } => {
                 self.truth.told += 1;
                 assert!(self.truth.answered, "nothing to pass on: {:?}", self.trail);
@@ -114,7 +119,9 @@
         match event {
             Event::ConnectFailed | Event::Sent => !sent,
             Event::NeverSent => !answered,
-            Event::Refused | Event::Head | Event::HeadFailed => sent && !answered,
+            Event::Refused | Event::Head | Event::HeadFailed | Event::Silent | Event::SilentNew => {
+                sent && !answered
+            }
             Event::End => answered,
             Event::Broken => sent,
             Event::Late | Event::Left => true,
@@ -135,10 +142,12 @@
             _ => {}
         }
         let open = self.truth.clone();
+        self.truth.goes_on = false;
         self.input(Input::Attempt { attempt, event, report: None });
         let same = self.truth.attempt == open.attempt;
         let ended = !matches!(event, Event::Sent | Event::Head | Event::HeadFailed);
-        if same && ended {
+        let silent = matches!(event, Event::Silent | Event::SilentNew);
+        if same && (if silent { !self.truth.goes_on } else { ended }) {
             self.truth.attempt = None;
         }
     }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -115,6 +115,10 @@
     pub frames: u64,
     /// Requests run by upstreams, by token.
     pub runs: BTreeMap<u64, u32>,
+    /// Digest of a request that breaks each upstream that runs it.
+    pub poison: Option<u64>,
+    /// Upstreams that it has broken.
+    pub poisoned: u32,
     /// Keys of calls, by token.
     pub keys: BTreeMap<u64, u64>,
     roster: Roster,
@@ -123,6 +127,7 @@
     later: BTreeMap<(Moment, u64), Later>,
     serial: u64,
     token: u64,
+    digest: Option<u64>,
 }
 
 impl Fleet {
@@ -139,6 +144,8 @@
             store_calls: 0,
             frames: 0,
             runs: BTreeMap::new(),
+            poison: None,
+            poisoned: 0,
             keys: BTreeMap::new(),
             roster: Roster::default(),
             config,
@@ -146,6 +153,7 @@
             later: BTreeMap::new(),
             serial: 0,
             token: 0,
+            digest: None,
         };
         let names: Vec<String> = fleet.config.upstreams.keys().cloned().collect();
         for name in names {
@@ -228,6 +236,20 @@
         self.call_keyed(entry, idempotent, patience, None)
     }
 
+    /// Gives an entry a call with a digest and returns its token.
+    pub fn call_digest(
+        &mut self,
+        entry: usize,
+        idempotent: bool,
+        patience: Span,
+        digest: u64,
+    ) -> u64 {
+        self.digest = Some(digest);
+        let token = self.call(entry, idempotent, patience);
+        self.digest = None;
+        token
+    }
+
     /// Gives an entry a call that may run once and has an idempotency key.
     pub fn call_keyed(
         &mut self,
@@ -250,7 +272,7 @@
             replayable: true,
             deadline: self.now + patience,
             key,
-            digest: token,
+            digest: self.digest.unwrap_or(token),
         };
         self.input(entry, Input::Request(request));
         token
@@ -322,7 +344,10 @@
             Output::Refuse { token, refusal, outcome, .. } => {
                 self.ends.insert(token, End::Refused(refusal, outcome));
             }
-            Output::Pass { .. } | Output::Wait { .. } => {}
+            Output::Pass { .. }
+            | Output::Wait { .. }
+            | Output::Continue { .. }
+            | Output::Retire { .. } => {}
             Output::Send { to, frame } => {
                 self.frames += 1;
                 let Some(to) = self.idents.iter().position(|ident| *ident == to) else { return };
@@ -370,6 +395,11 @@
         let service = fake.service;
         let event = Event::Sent;
         self.push(self.now, Later::Attempt { entry, attempt, event, report: None });
+        let engine = self.entries[entry].as_ref().expect("a live entry");
+        if let Some(span) = engine.hedge_after(attempt) {
+            let event = Event::SilentNew;
+            self.push(self.now + span, Later::Attempt { entry, attempt, event, report: None });
+        }
         let leave = Later::Leave { upstream: name, entry, attempt, call: token };
         self.push(self.now + service, leave);
     }
@@ -428,7 +458,13 @@
         fake.in_flight -= 1;
         let (in_flight, cold, draining) = (fake.in_flight, fake.cold, fake.draining);
         let report = Some(Report { in_flight, cold, draining });
+        let open = self.entries[entry].as_ref().is_some_and(|one| one.request(attempt).is_some());
+        let engine = self.entries[entry].as_ref();
+        let digest = engine.and_then(|one| one.request(attempt)).map(|one| one.digest);
+        let poisoned = digest.is_some() && digest == self.poison;
+        self.poisoned += u32::from(poisoned);
         let event = match fake.answer {
+            _ if poisoned => Event::Broken,
             Answer::Bad => Event::HeadFailed,
             Answer::Breaks => Event::Broken,
             _ => Event::Head,
@@ -438,7 +474,10 @@
         if event != Event::Broken {
             let event = Event::End;
             self.push(self.now, Later::Attempt { entry, attempt, event, report: None });
-            self.ends.insert(token, End::Answered);
+            // An attempt that was given up is answered to nobody.
+            if open {
+                self.ends.insert(token, End::Answered);
+            }
         }
     }
 
--- a/crates/rig/src/serve.rs
+++ b/crates/rig/src/serve.rs
@@ -62,6 +62,10 @@
     }
 }
 
+/// Number of the connection that a request came on, counted from one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Serial(pub u64);
+
 /// A stand-in that ends when it is dropped.
 #[derive(Debug)]
 pub struct Server {
@@ -93,14 +97,20 @@
     T: Future<Output = Reply> + Send + 'static,
 {
     let mut connections = JoinSet::new();
+    let mut count = 0;
     loop {
         tokio::select! {
             Some(_) = connections.join_next() => {}
             Ok((stream, _)) = listener.accept() => {
                 let _ = stream.set_nodelay(true);
                 let answer = answer.clone();
+                count += 1;
+                let serial = Serial(count);
                 connections.spawn(async move {
-                    let service = service_fn(move |request| reply(answer.clone(), request));
+                    let service = service_fn(move |mut request: Request<Incoming>| {
+                        request.extensions_mut().insert(serial);
+                        reply(answer.clone(), request)
+                    });
                     let connection = hyper::server::conn::http1::Builder::new()
                         .serve_connection(TokioIo::new(stream), service);
                     // A connection that is cut on purpose ends with an error.
--- a/crates/rig/src/upstream.rs
+++ b/crates/rig/src/upstream.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
-use crate::serve::{Page, Reply, Server, serve};
+use crate::serve::{Page, Reply, Serial, Server, serve};
 
 /// Header that a caller sets to count executions of one request.
 pub const MARK: &str = "rig-mark";
@@ -83,6 +83,8 @@
     running: u32,
     waiting: VecDeque<oneshot::Sender<()>>,
     served: u32,
+    newest: u64,
+    muted: u64,
     seen: Seen,
 }
 
@@ -98,8 +100,12 @@
 /// A call wants a slot.
 struct Enter {
     mark: Option<String>,
+    connection: u64,
 }
 
+/// Makes the connections that are open now silent for good.
+struct Mute;
+
 /// A call has ended.
 struct Leave;
 
@@ -116,6 +122,7 @@
 enum Turn {
     Runs { start: oneshot::Receiver<()>, behaviour: Box<Behaviour>, overloaded: bool },
     Refused(Report),
+    Muted,
 }
 
 impl Default for Behaviour {
@@ -146,6 +153,8 @@
             running: 0,
             waiting: VecDeque::new(),
             served: 0,
+            newest: 0,
+            muted: 0,
             seen: Seen::default(),
         };
         let worker = xtra::spawn_tokio(worker, Mailbox::unbounded());
@@ -165,6 +174,11 @@
         let _ = self.worker.send(Chill).await;
     }
 
+    /// Makes the connections that are open now silent for good; new ones work.
+    pub async fn mute_open(&self) {
+        let _ = self.worker.send(Mute).await;
+    }
+
     /// Returns what the upstream has seen.
     pub async fn seen(&self) -> Seen {
         self.worker.send(Look).await.unwrap_or_default()
@@ -193,6 +207,10 @@
     type Return = Turn;
 
     async fn handle(&mut self, enter: Enter, _: &mut Context<Self>) -> Turn {
+        self.newest = self.newest.max(enter.connection);
+        if enter.connection <= self.muted {
+            return Turn::Muted;
+        }
         if self.in_flight() >= self.behaviour.shed_above {
             self.seen.refused += 1;
             return Turn::Refused(self.report());
@@ -252,6 +270,14 @@
     }
 }
 
+impl Handler<Mute> for Worker {
+    type Return = ();
+
+    async fn handle(&mut self, _: Mute, _: &mut Context<Self>) {
+        self.muted = self.newest;
+    }
+}
+
 impl Handler<Look> for Worker {
     type Return = Seen;
 
@@ -265,9 +291,11 @@
     let attempt = request.headers().get(header::ATTEMPT).cloned();
     let (head, body) = request.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
-    let turn = worker.send(Enter { mark }).await.ok()?;
+    let connection = head.extensions.get::<Serial>().map_or(0, |serial| serial.0);
+    let turn = worker.send(Enter { mark, connection }).await.ok()?;
     let (start, behaviour, overloaded) = match turn {
         Turn::Refused(report) => return refusal(report),
+        Turn::Muted => return std::future::pending().await,
         Turn::Runs { start, behaviour, overloaded } => (start, behaviour, overloaded),
     };
     // The slot is given back by the task that holds it, also when the caller leaves meanwhile.
--- a/crates/rig/tests/path.rs
+++ b/crates/rig/tests/path.rs
@@ -240,3 +240,35 @@
     assert_eq!(stats["requests"], stats["complete"], "{stats}");
     assert_eq!(stats["cut"], 0, "{stats}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn path_silent_connections_are_left() {
+    let local = Local::start(&plan(1, 2)).await.expect("starts");
+    ready(&local).await;
+    let entry = local.entries[0].listen.callers;
+    for upstream in &local.upstreams {
+        upstream.change(|one| one.service = Duration::from_millis(20)).await;
+    }
+    let burst = |method: Method| async move {
+        let calls = (0..8).map(|_| tokio::spawn(tell(entry, method.clone(), "burst")));
+        let mut told = Vec::new();
+        for call in calls.collect::<Vec<_>>() {
+            told.push(call.await.expect("ends"));
+        }
+        told.iter().filter(|told| **told == Told::Answer).count()
+    };
+    for _ in 0..20 {
+        assert_eq!(burst(Method::GET).await, 8);
+    }
+    for upstream in &local.upstreams {
+        upstream.mute_open().await;
+    }
+    // Requests that may run again are saved by another attempt on a new connection.
+    assert_eq!(burst(Method::GET).await, 8);
+    for upstream in &local.upstreams {
+        upstream.mute_open().await;
+    }
+    // One that may run once goes on a new connection unless one was proven just now.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(burst(Method::POST).await, 8);
+}
