Move services between versions as the evidence permits

Cause: traffic has to move to a new version by a deadline, little may reach a bad one, and none soon after its badness shows, without the store.

Change: the roster's owner of a move drives it by a chart. Entries report cumulative tallies by route and upstream; cumulative sums of log-likelihood ratios against the old version find failures (all upstreams but the worst together) and slowness (most upstreams). Shares carry the roster's number as a fence; a verdict is final and goes to all members at once. Done and taken back are commands of the system's own in the store, repeated until accepted.

Over real sockets a bad version is taken back and marked bad, and a good one is done within 15 s.

--- a/crates/entry/src/admin/listing.rs
+++ b/crates/entry/src/admin/listing.rs
@@ -3,7 +3,7 @@
 use base::derive::Symbol;
 use derive_more::{Display, Error};
 use model::Config;
-use model::object::Kind;
+use model::object::{Kind, Phase};
 use model::query::{Listing, Query};
 use serde::Serialize;
 
@@ -37,7 +37,7 @@
             Ok(show(*listing, &filter, config, state))
         }
         Query::WhyUpstream { name } => why_upstream(name, config, state),
-        Query::WhyMove { name } => why_move(name, config),
+        Query::WhyMove { name } => why_move(name, config, state),
     }
 }
 
@@ -76,7 +76,7 @@
         Listing::Versions => versions(filter, config),
         Listing::Upstreams => upstreams(filter, config, state),
         Listing::Routes => routes(filter, config),
-        Listing::Moves => moves(filter, config),
+        Listing::Moves => moves(filter, config, state),
         Listing::History => history(config),
         Listing::Entries => entries(filter, state),
     }
@@ -182,7 +182,7 @@
     table(&["service", "method", "prefix", "requests"], rows)
 }
 
-fn moves(filter: &Filter<'_>, config: &Config) -> Table {
+fn moves(filter: &Filter<'_>, config: &Config, state: &State) -> Table {
     let rows = config.moves.iter().filter(|(_, plan)| filter.fits(&plan.service));
     let rows = rows.map(|(name, plan)| {
         vec![
@@ -192,10 +192,21 @@
             plan.to.clone(),
             plan.deadline_ms.to_string(),
             plan.phase.name().into(),
+            share(name, plan, state),
             plan.reason.clone(),
         ]
     });
-    table(&["move", "service", "from", "to", "deadline_ms", "phase", "reason"], rows)
+    table(&["move", "service", "from", "to", "deadline_ms", "phase", "share", "reason"], rows)
+}
+
+/// Returns the new version's share of the traffic in percent.
+fn share(name: &str, plan: &model::object::Move, state: &State) -> String {
+    let mille = match plan.phase {
+        Phase::Done => 1_000,
+        Phase::TakenBack => 0,
+        Phase::Running | Phase::Paused => state.engine.moves.get(name).map_or(0, |one| one.mille),
+    };
+    format!("{:.1} %", f64::from(mille) / 10.0)
 }
 
 fn history(config: &Config) -> Table {
@@ -255,13 +266,31 @@
     Ok(table(&["fact", "value"], facts.into_iter().map(|(fact, value)| vec![fact.into(), value])))
 }
 
-fn why_move(name: &str, config: &Config) -> Result<Table, Missing> {
+fn why_move(name: &str, config: &Config, state: &State) -> Result<Table, Missing> {
     let missing = || Missing { kind: Kind::Move, name: name.into() };
     let plan = config.moves.get(name).ok_or_else(missing)?;
-    let facts = [
+    let mut facts = vec![
         ("phase", plan.phase.name().to_owned()),
-        ("reason", plan.reason.clone()),
+        ("share of the new version", share(name, plan, state)),
         ("deadline_ms", plan.deadline_ms.to_string()),
     ];
+    if !plan.reason.is_empty() {
+        facts.push(("reason", plan.reason.clone()));
+    }
+    if let Some(known) = state.engine.moves.get(name) {
+        match known.state {
+            Some(state) => facts.push(("at the entry that drives it", state.name().to_owned())),
+            None => facts.push(("driven by", "another entry".to_owned())),
+        }
+        if let Some(samples) = known.samples {
+            facts.push(("answers weighed", samples.to_string()));
+        }
+        if let Some(verdict) = known.verdict {
+            facts.push(("to be taken back because", verdict.name().to_owned()));
+        }
+        if known.expects_late == Some(true) {
+            facts.push(("warning", "may not be done by its deadline".to_owned()));
+        }
+    }
     Ok(table(&["fact", "value"], facts.into_iter().map(|(fact, value)| vec![fact.into(), value])))
 }
--- a/crates/entry/src/admin/meter.rs
+++ b/crates/entry/src/admin/meter.rs
@@ -60,6 +60,7 @@
     counter!("nutmegwharf_grants_given_total").absolute(stats.granted);
     counter!("nutmegwharf_cold_starts_total").absolute(stats.cold_starts);
     counter!("nutmegwharf_harmful_total").absolute(stats.harmful);
+    counter!("nutmegwharf_shifted_total").absolute(stats.shifted);
     counter!("nutmegwharf_hedged_total").absolute(stats.hedged);
     gauge!("nutmegwharf_key_records").set(state.engine.keys as f64);
     gauge!("nutmegwharf_config_number").set(state.engine.number as f64);
@@ -71,6 +72,9 @@
         let count = upstreams.filter(|upstream| upstream.state == *one).count();
         gauge!("nutmegwharf_upstreams", "state" => one.name()).set(count as f64);
     }
+    for (name, plan) in &state.engine.moves {
+        gauge!("nutmegwharf_move_share", "move" => name.clone()).set(f64::from(plan.mille) / 1e3);
+    }
     for (service, waiting) in &state.engine.waiting {
         gauge!("nutmegwharf_waiting_calls", "service" => service.clone()).set(*waiting as f64);
     }
--- a/crates/entry/src/contact.rs
+++ b/crates/entry/src/contact.rs
@@ -1,5 +1,6 @@
 //! The task that confirms the roster with the store and writes new ones.
 
+use model::Command;
 use model::document;
 use model::instance::{self, Instances};
 use policy::engine::Input;
@@ -9,9 +10,12 @@
 use xtra::prelude::*;
 
 use crate::clock::Clock;
-use crate::keeper::{Keeper, Seen};
+use crate::keeper::{Execute, Keeper, Seen};
 use crate::steer::{Feed, Steer};
 
+/// Who orders what no operator has ordered.
+const SYSTEM: &str = "nutmegwharf";
+
 /// The task's state.
 #[derive(xtra::Actor)]
 pub struct Contact<S: Store> {
@@ -33,6 +37,15 @@
 #[derive(Debug)]
 pub struct Propose(pub Roster);
 
+/// Has a command of the system's own carried out.
+#[derive(Debug)]
+pub struct Order {
+    /// The command.
+    pub command: Command,
+    /// The command in words, with its reason.
+    pub text: String,
+}
+
 impl<S: Store> Contact<S> {
     /// Makes the task's state.
     pub fn new(store: S, clock: Clock, steer: Address<Steer>, keeper: Address<Keeper<S>>) -> Self {
@@ -151,3 +164,14 @@
         }
     }
 }
+
+impl<S: Store> Handler<Order> for Contact<S> {
+    type Return = ();
+
+    async fn handle(&mut self, order: Order, _: &mut Context<Self>) {
+        let Order { command, text } = order;
+        let execute = Execute { who: SYSTEM.into(), text, command, dry_run: false };
+        // The keeper logs what became of it, and it is ordered again until it is in force.
+        let _ = self.keeper.send(execute).await;
+    }
+}
--- a/crates/entry/src/steer.rs
+++ b/crates/entry/src/steer.rs
@@ -18,7 +18,7 @@
 pub use lane::{Asked, Directive, Happened, Message, Place, Target, Way};
 
 use crate::clock::Clock;
-use crate::contact::{Confirm, Contact, Propose};
+use crate::contact::{Confirm, Contact, Order, Propose};
 use crate::front::post;
 use crate::idle::Idle;
 use crate::peers::{Deliver, Hail, Members, Peers};
@@ -188,6 +188,9 @@
             Output::Pass { token } => self.reply(token, Directive::Pass),
             Output::Send { to, frame } => self.peers(|peers| post(peers, Deliver { to, frame })),
             Output::Hail { frame } => self.peers(|peers| post(peers, Hail(frame))),
+            Output::Order { command, text } => {
+                self.contact(|contact| post(contact, Order { command, text }));
+            }
             Output::Confirm => self.contact(|contact| post(contact, Confirm)),
             Output::Propose(roster) => self.contact(|contact| post(contact, Propose(roster))),
         }
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -109,8 +109,8 @@
         pub sent_at: Option<Moment>,
         /// Calls estimated at the upstream when it was granted.
         pub ahead: f64,
-        /// Whether the upstream said that it is in a cold start.
-        pub cold: bool,
+        /// Whether the upstream said that it is in a cold start, if it said anything.
+        pub cold: Option<bool>,
         /// Mark of the grant of a cold upstream's owner, if it uses one.
         pub granted: Option<u64>,
     }
--- a/crates/policy/src/balance/gauge.rs
+++ b/crates/policy/src/balance/gauge.rs
@@ -65,8 +65,9 @@
         self.reported_at = now;
     }
 
-    /// Takes in how long a call took that had `ahead` calls before it.
-    pub fn sample(&mut self, now: Moment, latency: Span, ahead: f64, slots: u32) {
+    /// Takes in how long a call took that had `ahead` calls before it, and returns the time that
+    /// it would have taken without waiting, in microseconds.
+    pub fn sample(&mut self, now: Moment, latency: Span, ahead: f64, slots: u32) -> f64 {
         let waited = (ahead + 1.0) / f64::from(slots.max(1));
         let service = latency.0 as f64 / waited.max(1.0);
         self.service = match self.service {
@@ -74,6 +75,7 @@
             old => old + SERVICE_GAIN * (service - old),
         };
         self.served_at = now;
+        service
     }
 
     /// Estimates the calls in progress there, of this entry and of others.
--- a/crates/policy/src/charts.rs
+++ b/crates/policy/src/charts.rs
@@ -3,7 +3,7 @@
 use chart::Chart;
 use derive_more::{Display, Error};
 
-use crate::{attempt, member, upstream};
+use crate::{attempt, member, rollout, upstream};
 
 /// The text of the upstream's chart.
 pub const UPSTREAM: &str = include_str!("../../../charts/upstream.jsonc");
@@ -11,6 +11,8 @@
 pub const ATTEMPT: &str = include_str!("../../../charts/attempt.jsonc");
 /// The text of the member's chart.
 pub const MEMBER: &str = include_str!("../../../charts/member.jsonc");
+/// The text of the move's chart.
+pub const MOVE: &str = include_str!("../../../charts/move.jsonc");
 
 /// A chart that does not fit the code.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -32,6 +34,8 @@
     pub attempt: Chart<attempt::State, attempt::Event, attempt::Action>,
     /// The life of a member.
     pub member: Chart<member::State, member::Event, member::Action>,
+    /// A planned move.
+    pub rollout: Chart<rollout::State, rollout::Event, rollout::Action>,
 }
 
 impl Charts {
@@ -46,6 +50,7 @@
             upstream: Chart::load(UPSTREAM).map_err(fault("upstream"))?,
             attempt: Chart::load(ATTEMPT).map_err(fault("attempt"))?,
             member: Chart::load(MEMBER).map_err(fault("member"))?,
+            rollout: Chart::load(MOVE).map_err(fault("move"))?,
         })
     }
 }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -6,13 +6,14 @@
 mod dump;
 mod fleet;
 mod keyed;
+mod moves;
 mod outcome;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use model::{Catalog, Config};
+use model::{Catalog, Command, Config};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::{SecondaryMap, SlotMap};
@@ -123,6 +124,13 @@
         /// The upstream.
         upstream: key::Upstream,
     },
+    /// The store has to accept a command of the system's own.
+    Order {
+        /// The command.
+        command: Command,
+        /// The command in words, with its reason.
+        text: String,
+    },
     /// The answer may be passed on.
     Pass {
         /// The front's mark.
@@ -181,6 +189,8 @@
     pub cold_starts: u64,
     /// Requests refused because they break upstreams.
     pub harmful: u64,
+    /// Requests sent to the new version of a move.
+    pub shifted: u64,
     /// Attempts given up because no answer began in time, in favour of another.
     pub hedged: u64,
 }
@@ -203,6 +213,7 @@
     asks: cold::Asks,
     ledger: Ledger,
     suspects: Suspects,
+    plans: SecondaryMap<key::Move, moves::Plan>,
     claims: BTreeMap<u64, key::Call>,
     early: Vec<(u64, Message)>,
     out_domains: Vec<key::Domain>,
@@ -234,6 +245,7 @@
             asks: cold::Asks::default(),
             ledger: Ledger::default(),
             suspects: Suspects::default(),
+            plans: SecondaryMap::new(),
             claims: BTreeMap::new(),
             early: Vec::new(),
             out_domains: Vec::new(),
@@ -311,6 +323,7 @@
             }
         }
         self.home = self.catalog.domain(&self.home_name);
+        self.adopt_plans();
         self.watch_domains(now, out);
         self.drain_queues(now, out);
     }
@@ -355,9 +368,10 @@
         for upstream in rested {
             self.upstream_event(now, upstream, upstream::Event::Rested, out);
         }
-        self.expire_asks(now);
+        self.expire_asks(now, out);
         self.retry_claims(now, out);
         self.tick_fleet(now, out);
+        self.tick_moves(now, out);
         self.drain_queues(now, out);
     }
 
--- a/crates/policy/src/engine/calls.rs
+++ b/crates/policy/src/engine/calls.rs
@@ -90,8 +90,34 @@
 
     /// Starts an attempt if some upstream may take it.
     pub(super) fn start(&mut self, now: Now, call: key::Call, out: &mut Vec<Output>) -> bool {
-        let version = self.version_for(now, call);
-        let Some(version) = version else { return false };
+        let service = self.calls[call].request.service;
+        let Some(serving) = self.catalog.services.get(service).and_then(|one| one.serving) else {
+            return false;
+        };
+        if let Some(next) = self.next_version(call) {
+            if self.start_at(now, call, next, out) {
+                self.stats.shifted += 1;
+                return true;
+            }
+            // Its cold upstreams belong to others; a grant comes for one of the next calls.
+            self.ask_for(now, next, 1, out);
+        }
+        self.start_at(now, call, serving, out)
+    }
+
+    /// Starts an attempt if some upstream of a version may take it.
+    fn start_at(
+        &mut self,
+        now: Now,
+        call: key::Call,
+        version: key::Version,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        self.calls[call].version = Some(version);
+        if let Some(held) = self.take_held(now, version) {
+            self.grant(now, call, held.upstream, Some(held.serial), out);
+            return true;
+        }
         if let Some(upstream) = self.own_cold(now, call, version) {
             let serial = self.grant_self(now, upstream);
             self.grant(now, call, upstream, Some(serial), out);
@@ -103,14 +129,6 @@
         true
     }
 
-    /// Returns the version whose upstreams may serve a call.
-    fn version_for(&mut self, _now: Now, call: key::Call) -> Option<key::Version> {
-        let request = self.calls[call].request;
-        let version = self.catalog.services.get(request.service)?.serving?;
-        self.calls[call].version = Some(version);
-        Some(version)
-    }
-
     /// Returns the warm upstreams that may take one more call.
     fn candidates(&self, now: Now, call: key::Call, version: key::Version) -> Vec<Candidate> {
         let Some(version) = self.catalog.versions.get(version) else { return Vec::new() };
@@ -201,7 +219,7 @@
             start: now.at,
             sent_at: None,
             ahead,
-            cold: false,
+            cold: None,
             granted,
         };
         let attempt = self.attempts.insert(attempt);
--- a/crates/policy/src/engine/cold.rs
+++ b/crates/policy/src/engine/cold.rs
@@ -30,6 +30,18 @@
     next: u64,
     open: BTreeMap<u64, Ask>,
     paused: BTreeMap<key::Upstream, Moment>,
+    held: Vec<Held>,
+}
+
+/// A grant that came when no call waited for it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Held {
+    /// The upstream.
+    pub upstream: key::Upstream,
+    /// The mark of the grant.
+    pub serial: u64,
+    /// When it may be used no more.
+    until: Moment,
 }
 
 /// One open ask.
@@ -194,12 +206,24 @@
     /// Asks owners of cold upstreams for calls, as many as wait.
     pub(super) fn ask_owners(&mut self, now: Now, service: key::Service, out: &mut Vec<Output>) {
         let waiting = self.queues.get(service).map_or(0, super::super::queue::Queue::len);
-        let Some(known) = self.catalog.services.get(service) else { return };
-        let serving = known.serving.and_then(|version| self.catalog.versions.get(version));
-        let Some(version) = serving else { return };
+        let serving = self.catalog.services.get(service).and_then(|known| known.serving);
+        if let Some(version) = serving {
+            self.ask_for(now, version, waiting, out);
+        }
+    }
+
+    /// Asks owners of a version's cold upstreams for at most `wanted` calls.
+    pub(super) fn ask_for(
+        &mut self,
+        now: Now,
+        version: key::Version,
+        wanted: usize,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(version) = self.catalog.versions.get(version) else { return };
         let open = self.asks.open.values();
         let open = open.filter(|ask| version.upstreams.contains(&ask.upstream)).count();
-        let room = waiting.min(OPEN_ASKS).saturating_sub(open);
+        let room = wanted.min(OPEN_ASKS).saturating_sub(open);
         let fits = |key: &&key::Upstream| self.may_ask(now, **key);
         let fitting: Vec<_> = version.upstreams.iter().filter(fits).copied().collect();
         let targets: Vec<_> = fitting.sample(&mut self.rng, room).copied().collect();
@@ -230,7 +254,8 @@
     }
 
     /// Forgets asks that no answer may come to any more.
-    pub(super) fn expire_asks(&mut self, now: Now) {
+    pub(super) fn expire_asks(&mut self, now: Now, out: &mut Vec<Output>) {
+        self.return_held(now, out);
         self.asks.open.retain(|_, ask| now.at < ask.sent + GRANT_TERM);
         self.asks.paused.retain(|_, until| now.at < *until);
     }
@@ -273,6 +298,7 @@
                     self.ledger.take_over(now.at, from, &part);
                 }
             }
+            Message::Evidence { plan, rows } => self.take_evidence(from, plan, &rows),
             Message::Urgent(news) => self.hear(now, news, out),
             Message::Recall { number } => self.recalled(from, number, out),
             Message::Down { upstream } => self.told_down(now, upstream, out),
@@ -304,6 +330,11 @@
         let call = usable.and_then(|key| self.waiting_for(now, key));
         match (usable, call) {
             (Some(key), Some(call)) => self.grant(now, call, key, Some(serial), out),
+            // With nothing waiting, a call of the move's next few may still use it.
+            (Some(key), None) if self.is_shifting_to(key) => {
+                let until = ask.map_or(now.at, |ask| ask.sent + GRANT_TERM);
+                self.asks.held.push(Held { upstream: key, serial, until });
+            }
             _ => {
                 let result = quota::Result::Unused;
                 let message = Message::Settle { upstream, serial, result };
@@ -312,6 +343,29 @@
         }
     }
 
+    /// Takes a held grant for an upstream of a version.
+    pub(super) fn take_held(&mut self, now: Now, version: key::Version) -> Option<Held> {
+        let upstreams = &self.catalog.upstreams;
+        let fits = |held: &Held| {
+            now.at < held.until
+                && upstreams.get(held.upstream).is_some_and(|one| one.version == version)
+        };
+        let position = self.asks.held.iter().position(fits)?;
+        let held = self.asks.held.swap_remove(position);
+        self.is_cold(held.upstream).then_some(held)
+    }
+
+    /// Gives back held grants that nothing has used in time.
+    fn return_held(&mut self, now: Now, out: &mut Vec<Output>) {
+        let (kept, over): (Vec<Held>, Vec<Held>) =
+            std::mem::take(&mut self.asks.held).into_iter().partition(|one| now.at < one.until);
+        self.asks.held = kept;
+        for held in over {
+            let result = quota::Result::Unused;
+            self.settle_grant(now, held.upstream, held.serial, result, out);
+        }
+    }
+
     /// Takes the next waiting call that may go to an upstream out of its queue.
     fn waiting_for(&mut self, now: Now, key: key::Upstream) -> Option<key::Call> {
         let service = self.catalog.upstreams[key].service;
--- a/crates/policy/src/engine/dump.rs
+++ b/crates/policy/src/engine/dump.rs
@@ -10,6 +10,7 @@
 use crate::balance::Chooser;
 use crate::member::Member;
 use crate::quota::Allotment;
+use crate::rollout::{self, Verdict};
 use crate::roster::Roster;
 use crate::upstream::State;
 
@@ -32,6 +33,8 @@
     pub waiting: BTreeMap<String, usize>,
     /// Calls in progress or waiting.
     pub calls: usize,
+    /// Moves by name.
+    pub moves: BTreeMap<String, Move>,
     /// Digests of requests that are refused because they break upstreams.
     pub harmful: Vec<u64>,
     /// Records of idempotency keys.
@@ -42,6 +45,21 @@
     pub stats: Stats,
 }
 
+/// What an engine knows of one move.
+#[derive(Clone, Debug, Serialize)]
+pub struct Move {
+    /// The share of the new version in thousandths.
+    pub mille: u32,
+    /// Why it is to be taken back.
+    pub verdict: Option<Verdict>,
+    /// How far it is, at the member that drives it.
+    pub state: Option<rollout::State>,
+    /// Answers of the new version that were weighed, at the member that drives it.
+    pub samples: Option<u32>,
+    /// Whether it may end after its deadline, at the member that drives it.
+    pub expects_late: Option<bool>,
+}
+
 /// What an engine knows of one upstream.
 #[derive(Clone, Debug, Serialize)]
 pub struct Upstream {
@@ -87,6 +105,7 @@
             upstreams: self.catalog.upstreams.keys().map(|key| self.dump_one(now, key)).collect(),
             waiting: waiting.collect(),
             calls: self.calls.len(),
+            moves: self.plans.keys().map(|key| self.dump_move(now, key)).collect(),
             harmful: self.suspects.harmful(now.at),
             keys: self.ledger.len(),
             out: self.out_domains.iter().filter_map(name).collect(),
@@ -94,6 +113,21 @@
         }
     }
 
+    fn dump_move(&self, now: Now, key: key::Move) -> (String, Move) {
+        let (known, plan) = (&self.catalog.moves[key], &self.plans[key]);
+        let window = Span::millis(known.deadline_ms.saturating_sub(known.start_ms));
+        let left = Span::millis(known.deadline_ms.saturating_sub(now.unix_ms));
+        let drive = plan.drive.as_ref();
+        let dump = Move {
+            mille: plan.share.mille,
+            verdict: plan.verdict,
+            state: drive.map(|drive| drive.state),
+            samples: drive.map(|drive| drive.judge.samples()),
+            expects_late: drive.map(|drive| drive.expects_late(now.at, window, left)),
+        };
+        (known.name.clone(), dump)
+    }
+
     fn dump_one(&self, now: Now, key: key::Upstream) -> (String, Upstream) {
         let known = &self.catalog.upstreams[key];
         let state = &self.upstreams[key];
--- a/crates/policy/src/engine/fleet.rs
+++ b/crates/policy/src/engine/fleet.rs
@@ -148,7 +148,7 @@
             _ if epoch > 0 => Some(News::Thermal { upstream, epoch }),
             _ => None,
         });
-        news.collect()
+        news.chain(self.move_news()).collect()
     }
 
     /// Does what is due in the dealings with the others.
@@ -257,6 +257,8 @@
     pub(super) fn hear(&mut self, now: Now, news: News, out: &mut Vec<Output>) {
         match news {
             News::Thermal { upstream, epoch } => self.hear_thermal(now, upstream, epoch, out),
+            News::Share { plan, share } => self.hear_share(plan, share),
+            News::Verdict { plan, verdict } => self.hear_verdict(plan, verdict),
             News::Victim { digest, generation, upstream } => {
                 if self.suspects.hear(now.at, digest, generation, Some(upstream)) {
                     self.gossip.spread(news);
--- a/crates/policy/src/engine/outcome.rs
+++ b/crates/policy/src/engine/outcome.rs
@@ -31,7 +31,7 @@
         if attempt.state == State::Sent && attempt.sent_at.is_none() {
             attempt.sent_at = Some(now.at);
         }
-        attempt.cold |= report.is_some_and(|report| report.cold);
+        attempt.cold = report.map(|report| report.cold).or(attempt.cold);
         let actions = step.actions.to_vec();
         let attempt = attempt.clone();
         if attempt.state.is_final() {
@@ -85,8 +85,12 @@
                 self.stats.complete += u64::from(ended.is_some());
             }
             Action::Credit => self.credit(now, attempt, out),
-            Action::BlameConnect => self.blame_connect(now, attempt.upstream, out),
+            Action::BlameConnect => {
+                self.witness(attempt, true, None);
+                self.blame_connect(now, attempt.upstream, out);
+            }
             Action::BlameAnswer | Action::BlameBreak | Action::BlameLate => {
+                self.witness(attempt, true, None);
                 self.blame_answer(now, attempt.upstream, out);
             }
             Action::NoteRefusal => {
@@ -253,7 +257,11 @@
         let slots = self.catalog.services[known.service].slots;
         let Some(upstream) = self.upstreams.get_mut(attempt.upstream) else { return };
         upstream.credit();
-        upstream.gauge.sample(now.at, now.at.since(attempt.start), attempt.ahead, slots);
+        let latency = now.at.since(attempt.start);
+        let service = upstream.gauge.sample(now.at, latency, attempt.ahead, slots);
+        // In a cold start a good version is slow too; one that says nothing may be in one.
+        let usual = !attempt.cold.unwrap_or(attempt.granted.is_some());
+        self.witness(attempt, false, usual.then_some(service));
         self.upstream_event(now, attempt.upstream, upstream::Event::Answered, out);
     }
 
@@ -288,7 +296,7 @@
     fn settle(&mut self, now: Now, attempt: &Attempt, event: Event, out: &mut Vec<Output>) {
         let Some(serial) = attempt.granted else { return };
         let result = match event {
-            _ if attempt.cold => quota::Result::Cold,
+            _ if attempt.cold == Some(true) => quota::Result::Cold,
             Event::Refused => quota::Result::Cold,
             Event::End => quota::Result::Good,
             Event::NeverSent | Event::Left if attempt.sent_at.is_none() => quota::Result::Unused,
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -176,6 +176,9 @@
         | (News::Drain { upstream, epoch }, News::Drain { upstream: other, epoch: before }) => {
             upstream == other && epoch >= before
         }
+        (News::Share { plan, share }, News::Share { plan: other, share: before }) => {
+            plan == other && share >= before
+        }
         (
             News::Cleared { digest, generation },
             News::Victim { digest: other, generation: before, .. }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod queue;
 pub mod quota;
 pub mod retry;
+pub mod rollout;
 pub mod roster;
 pub mod upstream;
 
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -4,6 +4,7 @@
 
 use crate::claim;
 use crate::quota;
+use crate::rollout;
 use crate::roster::{Member, Roster};
 
 record! {
@@ -123,6 +124,13 @@
             /// Number of the roster.
             number: u64,
         },
+        /// Tells the member that drives a move what the sender has seen.
+        Evidence {
+            /// The move's identity.
+            plan: u64,
+            /// What has changed.
+            rows: Vec<rollout::Row>,
+        },
         /// Tells of something that must not wait for the next round.
         Urgent(News),
         /// Tells the owner that connections to its upstream fail.
@@ -161,6 +169,20 @@
             /// The upstream's identity.
             upstream: u64,
         },
+        /// The share of a move's new version.
+        Share {
+            /// The move's identity.
+            plan: u64,
+            /// The share.
+            share: rollout::Share,
+        },
+        /// A move is to be taken back; this is final.
+        Verdict {
+            /// The move's identity.
+            plan: u64,
+            /// Why.
+            verdict: rollout::Verdict,
+        },
         /// A suspected request was answered.
         Cleared {
             /// Digest of the request.
--- /dev/null
+++ b/crates/policy/src/rollout/evidence.rs
@@ -0,0 +1,124 @@
+//! What entries see of the two versions of a move.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+/// Buckets of a histogram of service times, each half an octave wide.
+pub const BUCKETS: usize = 24;
+/// Upper bound of the first bucket in microseconds.
+const FIRST_US: f64 = 250.0;
+
+symbols! {
+    /// One of the two versions.
+    pub enum Arm {
+        /// The version that has the traffic.
+        Old = "old",
+        /// The version that gets the traffic.
+        New = "new",
+    }
+}
+
+value! {
+    /// What answers are counted by.
+    pub struct Place {
+        /// The version.
+        pub arm: Arm,
+        /// Identity of the route, or zero for requests of none.
+        pub route: u64,
+        /// Identity of the upstream; zero for the old version, whose upstreams count together.
+        pub upstream: u64,
+    }
+}
+
+record! {
+    /// Counts of answers.
+    #[derive(Default)]
+    pub struct Tally {
+        /// Answers.
+        pub count: u32,
+        /// Answers that tell of the upstream's failure, and exchanges that broke or were late.
+        pub failed: u32,
+        /// Good answers by service time, leaving out those of upstreams in a cold start.
+        pub times: [u32; BUCKETS],
+    }
+
+    /// A tally and where it belongs.
+    pub struct Row {
+        /// Where it belongs.
+        pub place: Place,
+        /// Counts since the entry started.
+        pub tally: Tally,
+    }
+}
+
+/// The tallies of one entry for one move.
+#[derive(Clone, Debug, Default)]
+pub struct Tallies {
+    rows: BTreeMap<Place, Tally>,
+    changed: Vec<Place>,
+}
+
+impl Tally {
+    /// Counts one answer; `service_us` is its service time if that means something.
+    pub fn add(&mut self, failed: bool, service_us: Option<f64>) {
+        self.count += 1;
+        self.failed += u32::from(failed);
+        if let Some(service_us) = service_us.filter(|_| !failed) {
+            self.times[bucket(service_us)] += 1;
+        }
+    }
+
+    /// Returns the counts since an earlier state of the same tally.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut times = self.times;
+        for (count, before) in times.iter_mut().zip(earlier.times) {
+            *count = count.saturating_sub(before);
+        }
+        Self {
+            count: self.count.saturating_sub(earlier.count),
+            failed: self.failed.saturating_sub(earlier.failed),
+            times,
+        }
+    }
+
+    /// Adds the counts of another tally.
+    pub fn merge(&mut self, other: &Self) {
+        self.count += other.count;
+        self.failed += other.failed;
+        for (count, more) in self.times.iter_mut().zip(other.times) {
+            *count += more;
+        }
+    }
+}
+
+impl Tallies {
+    /// Counts one answer.
+    pub fn add(&mut self, place: Place, failed: bool, service_us: Option<f64>) {
+        self.rows.entry(place).or_default().add(failed, service_us);
+        if !self.changed.contains(&place) {
+            self.changed.push(place);
+        }
+    }
+
+    /// Takes rows that have changed since they were taken, at most `most` of them.
+    pub fn take_changed(&mut self, most: usize) -> Vec<Row> {
+        let count = self.changed.len().min(most);
+        let places: Vec<Place> = self.changed.drain(..count).collect();
+        let rows = places
+            .into_iter()
+            .filter_map(|place| Some(Row { place, tally: self.rows.get(&place)?.clone() }));
+        rows.collect()
+    }
+
+    /// Lets every row count as changed, for a member that knows none of them.
+    pub fn renew(&mut self) {
+        self.changed = self.rows.keys().copied().collect();
+    }
+}
+
+fn bucket(service_us: f64) -> usize {
+    let position = (2.0 * (service_us / FIRST_US).max(1e-9).log2()).ceil();
+    (position.max(0.0) as usize).min(BUCKETS - 1)
+}
--- /dev/null
+++ b/crates/policy/src/rollout/judge.rs
@@ -0,0 +1,190 @@
+//! Sequential tests of a new version against the old one under the same load.
+//!
+//! Each test is a cumulative sum of log-likelihood ratios that never falls below zero, so that a
+//! version that turns bad after a long good time is found as fast as one that was bad at once.
+
+use std::collections::BTreeMap;
+
+use super::Verdict;
+use super::evidence::{Arm, BUCKETS, Place, Row, Tally};
+
+/// Sum at which a test finds for badness. A good version reaches it in one of e^16 samples.
+const FOUND: f64 = 16.0;
+/// Sum at which a test gives cause for doubt.
+const DOUBT: f64 = 8.0;
+/// Part of a sum that each of most upstreams has to reach for slowness to be the version's.
+const MOST_PART: f64 = 4.0;
+/// Failures that a good version may have beyond those of the old one, as a share.
+const SLACK: f64 = 0.005;
+/// Further failures by which a bad version differs, as a share.
+const BAD_MORE: f64 = 0.05;
+/// Share of the old version's answers that count as slow.
+const SLOW_TAIL: f64 = 0.1;
+/// Share of slow answers of a slow version.
+const SLOW_BAD: f64 = 0.45;
+/// Answers of the old version that are needed to say what is slow.
+const SLOW_BASIS: u32 = 100;
+/// What remains of the old version's counts at each look, so that they follow its load.
+const FADE: f64 = 0.98;
+
+/// What the evidence says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Finding {
+    /// Nothing speaks against the new version.
+    Clear,
+    /// Something does, though not enough.
+    Doubtful,
+    /// The new version is bad.
+    Bad(Verdict),
+}
+
+/// The tests of one move.
+#[derive(Clone, Debug, Default)]
+pub struct Judge {
+    seen: BTreeMap<(u64, Place), Tally>,
+    old: BTreeMap<u64, Basis>,
+    /// Sums of the tests of failures, by route and upstream.
+    failing: BTreeMap<u64, BTreeMap<u64, f64>>,
+    /// Sums of the tests of slowness, by upstream.
+    slow: BTreeMap<u64, f64>,
+    samples: u32,
+    telling: u32,
+}
+
+/// What the old version does on one route.
+#[derive(Clone, Debug, Default)]
+struct Basis {
+    count: f64,
+    failed: f64,
+    times: [f64; BUCKETS],
+}
+
+impl Judge {
+    /// Takes in rows of one member; the first of a row is where its counting starts.
+    pub fn take(&mut self, member: u64, rows: &[Row], from_start: bool) {
+        for row in rows {
+            let known = self.seen.insert((member, row.place), row.tally.clone());
+            match known {
+                Some(known) => self.weigh(row.place, &row.tally.since(&known)),
+                None if from_start => self.weigh(row.place, &row.tally),
+                None => {}
+            }
+        }
+    }
+
+    /// Returns the answers of the new version that were weighed.
+    #[must_use]
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+
+    /// Returns the failures and the service times of the new version that were weighed, leaving
+    /// out good answers in cold starts.
+    #[must_use]
+    pub fn telling(&self) -> u32 {
+        self.telling
+    }
+
+    /// Says what the evidence says.
+    #[must_use]
+    pub fn finding(&self) -> Finding {
+        let failing = self.failing.values().map(common).fold(0.0, f64::max);
+        if failing >= FOUND {
+            return Finding::Bad(Verdict::Failing);
+        }
+        if self.most_are_slow(FOUND) {
+            return Finding::Bad(Verdict::Slow);
+        }
+        let doubt = failing >= DOUBT || self.most_are_slow(DOUBT);
+        if doubt { Finding::Doubtful } else { Finding::Clear }
+    }
+
+    /// Tells whether more than half of the upstreams are slow; noisy neighbours slow a few.
+    fn most_are_slow(&self, bound: f64) -> bool {
+        let slow = self.slow.values().filter(|sum| **sum >= bound / MOST_PART).count();
+        slow * 2 > self.slow.len() && common(&self.slow) >= bound
+    }
+
+    fn weigh(&mut self, place: Place, delta: &Tally) {
+        if delta.count == 0 {
+            return;
+        }
+        match place.arm {
+            Arm::Old => self.old.entry(place.route).or_default().add(delta),
+            Arm::New => {
+                self.samples += delta.count;
+                self.telling += delta.failed + delta.times.iter().sum::<u32>();
+                self.weigh_failures(place, delta);
+                self.weigh_times(place, delta);
+            }
+        }
+    }
+
+    fn weigh_failures(&mut self, place: Place, delta: &Tally) {
+        let share = self.old.get(&place.route).map_or(0.0, Basis::failures);
+        let good = (share + SLACK).min(0.9);
+        let bad = (good * 2.0).max(good + BAD_MORE).min(0.99);
+        let step = log_likelihood(delta.failed, delta.count, good, bad);
+        let route = self.failing.entry(place.route).or_default();
+        let sum = route.entry(place.upstream).or_insert(0.0);
+        *sum = (*sum + step).max(0.0);
+    }
+
+    fn weigh_times(&mut self, place: Place, delta: &Tally) {
+        let Some(basis) = self.old.get(&place.route) else { return };
+        let Some((bound, share)) = basis.slow_bound() else { return };
+        let slow: u32 = delta.times[bound..].iter().sum();
+        let count: u32 = delta.times.iter().sum();
+        let step = log_likelihood(slow, count, share.max(SLOW_TAIL), SLOW_BAD);
+        let sum = self.slow.entry(place.upstream).or_insert(0.0);
+        *sum = (*sum + step).max(0.0);
+    }
+}
+
+impl Basis {
+    fn add(&mut self, delta: &Tally) {
+        self.count = self.count * FADE + f64::from(delta.count);
+        self.failed = self.failed * FADE + f64::from(delta.failed);
+        for (old, new) in self.times.iter_mut().zip(delta.times) {
+            *old = *old * FADE + f64::from(new);
+        }
+    }
+
+    fn failures(&self) -> f64 {
+        if self.count < 1.0 { 0.0 } else { self.failed / self.count }
+    }
+
+    /// Returns the first bucket that counts as slow and the share of the old version in it or
+    /// above.
+    fn slow_bound(&self) -> Option<(usize, f64)> {
+        let all: f64 = self.times.iter().sum();
+        if all < f64::from(SLOW_BASIS) {
+            return None;
+        }
+        let mut above = 0.0;
+        for bucket in (1..BUCKETS).rev() {
+            let next = above + self.times[bucket] / all;
+            if next > SLOW_TAIL {
+                return (bucket + 1 < BUCKETS).then_some((bucket + 1, above));
+            }
+            above = next;
+        }
+        Some((1, above))
+    }
+}
+
+/// Returns what several upstreams have in common: all sums but the greatest.
+///
+/// One broken upstream among several is not the version's fault.
+fn common(sums: &BTreeMap<u64, f64>) -> f64 {
+    let greatest = sums.values().copied().fold(0.0, f64::max);
+    let all: f64 = sums.values().sum();
+    if sums.len() > 1 { all - greatest } else { all }
+}
+
+/// Returns the logarithm of how much likelier `hits` of `count` are at the share `bad` than at
+/// `good`.
+fn log_likelihood(hits: u32, count: u32, good: f64, bad: f64) -> f64 {
+    let misses = f64::from(count.saturating_sub(hits));
+    f64::from(hits) * (bad / good).ln() + misses * ((1.0 - bad) / (1.0 - good)).ln()
+}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -35,6 +35,10 @@
     Breaks,
     /// It never answers.
     Silent,
+    /// It answers with a failure to requests of one route.
+    BadOnRoute,
+    /// It answers with a failure while more calls than this are in progress.
+    BadAbove(u32),
 }
 
 /// A fake upstream.
@@ -80,6 +84,7 @@
     Deliver { to: usize, from: u64, frame: Frame },
     Attempt { entry: usize, attempt: key::Attempt, event: Event, report: Option<Report> },
     Leave { upstream: String, entry: usize, attempt: key::Attempt, call: u64 },
+    Config { entry: usize },
     Roster { entry: usize, asked_at: Moment, roster: Roster },
     Write { entry: usize, roster: Roster },
 }
@@ -202,6 +207,11 @@
         }
     }
 
+    /// Returns the configuration in the store.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
     /// Gives an entry an input.
     pub fn feed(&mut self, entry: usize, input: Input) {
         self.input(entry, input);
@@ -263,11 +273,14 @@
         self.keys.extend(key.map(|key| (token, key)));
         let Some(engine) = &self.entries[entry] else { return token };
         let service = engine.catalog().service("seal").expect("a service");
+        let routes = &engine.catalog().services[service].routes;
+        // Every fifth call is of the route, if there is one.
+        let route = routes.first().copied().filter(|_| token.is_multiple_of(5));
         let request = Request {
             token,
             service,
             workspace: None,
-            route: None,
+            route,
             idempotent,
             replayable: true,
             deadline: self.now + patience,
@@ -348,6 +361,9 @@
             | Output::Wait { .. }
             | Output::Continue { .. }
             | Output::Retire { .. } => {}
+            Output::Send { frame: Frame::Fetch, .. } => {
+                self.push(self.now + DELAY + DELAY, Later::Config { entry });
+            }
             Output::Send { to, frame } => {
                 self.frames += 1;
                 let Some(to) = self.idents.iter().position(|ident| *ident == to) else { return };
@@ -361,6 +377,22 @@
                     self.push(self.now + DELAY, Later::Deliver { to, from, frame });
                 }
             }
+            Output::Order { command, .. } => {
+                self.store_calls += 2;
+                let order = Order {
+                    who: "system".into(),
+                    when_ms: self.unix_ms(),
+                    write: self.serial,
+                    text: String::new(),
+                };
+                // A command that was carried out before is refused, as in the store.
+                if !self.storeless.contains(&entry)
+                    && let Ok(next) = self.config.apply(&command, order)
+                {
+                    self.config = next;
+                    self.push(self.now + DELAY, Later::Config { entry });
+                }
+            }
             Output::Confirm => {
                 self.store_calls += 1;
                 if !self.storeless.contains(&entry) {
@@ -436,6 +468,7 @@
             Later::Leave { upstream, entry, attempt, call } => {
                 self.leave(&upstream, entry, attempt, call);
             }
+            Later::Config { entry } => self.refresh(entry),
             Later::Roster { entry, asked_at, roster } => {
                 self.input(entry, Input::Roster { asked_at, roster });
             }
@@ -460,12 +493,15 @@
         let report = Some(Report { in_flight, cold, draining });
         let open = self.entries[entry].as_ref().is_some_and(|one| one.request(attempt).is_some());
         let engine = self.entries[entry].as_ref();
-        let digest = engine.and_then(|one| one.request(attempt)).map(|one| one.digest);
+        let request = engine.and_then(|one| one.request(attempt));
+        let (digest, route) = (request.map(|one| one.digest), request.and_then(|one| one.route));
         let poisoned = digest.is_some() && digest == self.poison;
         self.poisoned += u32::from(poisoned);
         let event = match fake.answer {
             _ if poisoned => Event::Broken,
             Answer::Bad => Event::HeadFailed,
+            Answer::BadOnRoute if route.is_some() => Event::HeadFailed,
+            Answer::BadAbove(bound) if in_flight >= bound => Event::HeadFailed,
             Answer::Breaks => Event::Broken,
             _ => Event::Head,
         };
--- a/crates/rig/tests/operate.rs
+++ b/crates/rig/tests/operate.rs
@@ -80,3 +80,54 @@
         assert_eq!(domains.matches("race-").count(), accepted);
     }
 }
+
+/// Calls every entry until the moves show a phase.
+async fn drive(local: &Local, phase: &str) -> String {
+    for _ in 0..4_000 {
+        for entry in &local.entries {
+            let callers = entry.listen.callers;
+            let _ = caller::call(callers, hyper::Method::GET, "/", &[], "").await;
+        }
+        let (_, moves) = say(local, 0, TOKEN, "show moves").await;
+        if moves.contains(phase) {
+            return moves;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let (_, moves) = say(local, 0, TOKEN, "show moves").await;
+    panic!("the move never was {phase}: {moves}");
+}
+
+fn two_versions() -> Plan {
+    let behaviour =
+        rig::upstream::Behaviour { service: Duration::from_millis(1), ..Default::default() };
+    Plan { entries: 2, upstreams: 2, next_upstreams: 2, domains: 2, behaviour, ..Plan::default() }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn move_to_a_bad_version_is_taken_back() {
+    let local = Local::start(&two_versions()).await.expect("starts");
+    for upstream in &local.upstreams[2..] {
+        upstream.change(|one| one.fault = rig::upstream::Fault::Fails).await;
+    }
+    local.order("move seal from v1 to v2 in 10m").await.expect("accepted");
+    let moves = drive(&local, "taken-back").await;
+    assert!(moves.contains("failing"), "{moves}");
+    let (_, versions) = say(&local, 1, TOKEN, "show versions").await;
+    assert!(versions.contains(r#"["v2","seal","bad""#), "{versions}");
+    let mut ran = 0;
+    for upstream in &local.upstreams[2..] {
+        ran += upstream.seen().await.ran;
+    }
+    assert!(ran < 60, "{ran} calls reached the bad version");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn move_to_a_good_version_is_done() {
+    let local = Local::start(&two_versions()).await.expect("starts");
+    local.order("move seal from v1 to v2 in 15s").await.expect("accepted");
+    let moves = drive(&local, "done").await;
+    assert!(moves.contains("100.0 %"), "{moves}");
+    let (_, services) = say(&local, 1, TOKEN, "show services").await;
+    assert!(services.contains(r#"["seal","v2""#), "{services}");
+}
