Bound what control costs a node and let one member ask the store

Cause: 'rig slopes' showed 12680 bytes/s a node at 16 entries, above the 11 KB allowed, and 0.49 store calls/s for each entry: all members' views of the roster aged together, so all asked at once.

Change: beats travel as numbers in the roster's order in place of pairs with 64-bit identities; members ask the store in the roster's order, each further one only when the answer is 500 ms older. The process exports its processor time and memory.

--- a/crates/entry/src/admin/meter.rs
+++ b/crates/entry/src/admin/meter.rs
@@ -10,6 +10,15 @@
 use crate::peers::Traffic;
 use crate::steer::State;
 
+/// Position of the processor time in user mode behind the process's name.
+const USER_TICKS: usize = 12;
+/// Position of the resident pages behind the process's name.
+const RESIDENT_PAGES: usize = 22;
+/// Units of processor time in a second.
+const TICKS_A_SECOND: f64 = 100.0;
+/// Bytes of a page.
+const PAGE_BYTES: u64 = 4_096;
+
 /// Metrics of one entry, taken from its state when they are read.
 ///
 /// The request path touches no metric; it counts in its own state.
@@ -32,6 +41,7 @@
         with_local_recorder(&*self.recorder, || {
             record(state);
             record_traffic(traffic);
+            record_process();
         });
         self.recorder.handle().render()
     }
@@ -45,6 +55,20 @@
     counter!("nutmegwharf_peer_frames_dropped_total").absolute(traffic.dropped);
 }
 
+/// Records what the process itself has used, as the system tells it.
+fn record_process() {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The name in parentheses may have blanks, so fields count from behind it.
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split(' ').collect();
+    let field = |at: usize| fields.get(at).and_then(|text| text.parse::<u64>().ok());
+    if let (Some(user), Some(system)) = (field(USER_TICKS), field(USER_TICKS + 1)) {
+        gauge!("nutmegwharf_process_cpu_seconds").set((user + system) as f64 / TICKS_A_SECOND);
+    }
+    if let Some(pages) = field(RESIDENT_PAGES) {
+        gauge!("nutmegwharf_process_resident_bytes").set((pages * PAGE_BYTES) as f64);
+    }
+}
+
 fn record(state: &State) {
     let stats = &state.engine.stats;
     counter!("nutmegwharf_requests_total").absolute(stats.requests);
--- a/crates/policy/src/engine/fleet.rs
+++ b/crates/policy/src/engine/fleet.rs
@@ -12,11 +12,15 @@
 use crate::upstream::{Event, State};
 
 /// Age of the roster's confirmation at which a member asks the store itself.
-const CONFIRM_AGE: Span = Span::millis(1_500);
-/// Random part of that age, so that members do not ask at once.
-const CONFIRM_JITTER: Span = Span::millis(1_000);
+const CONFIRM_AGE: Span = Span::millis(1_200);
+/// Time that each further member waits for the one before it.
+const CONFIRM_STEP: Span = Span::millis(500);
+/// Longest time that a member waits for those before it.
+const CONFIRM_SPREAD: Span = Span::millis(1_500);
 /// Time between asking the store twice.
-const CONFIRM_PAUSE: Span = Span::millis(1_000);
+const CONFIRM_PAUSE: Span = Span::millis(800);
+/// Random part of that time, so that members do not ask at once.
+const CONFIRM_JITTER: Span = Span::millis(800);
 /// Time after which a joiner that hears of no member enters the roster by itself.
 const ALONE: Span = Span::seconds(30);
 /// Time that each further member waits before it proposes a roster.
@@ -91,7 +95,10 @@
 
     /// Takes in what both probes and replies tell.
     fn take_digest(&mut self, now: Now, from: u64, digest: Digest, out: &mut Vec<Output>) {
-        self.gossip.hear(now.at, &self.charts, &digest.beats);
+        if let Some(roster) = self.tenure.roster().filter(|one| one.number == digest.roster) {
+            let named = roster.members.keys().copied();
+            self.gossip.hear(now.at, &self.charts, named, &digest.beats);
+        }
         if let Some(member) = self.gossip.member_mut(from) {
             member.config = member.config.max(digest.config);
             if digest.leaving {
@@ -117,6 +124,8 @@
 
     fn digest(&mut self, now: Now, sent_at: Moment) -> Digest {
         let (named, leaving) = (self.is_named(), self.fleet.leaving);
+        let members = self.tenure.roster().into_iter().flat_map(|roster| roster.members.keys());
+        let beats = self.gossip.beats(members.copied());
         Digest {
             sent_at,
             config: self.catalog.number,
@@ -126,7 +135,7 @@
             joiner: self.fleet.member.clone().filter(|_| !named && !leaving).map(Box::new),
             fresh: !self.fleet.heard,
             leaving,
-            beats: self.gossip.beats(),
+            beats,
             news: self.gossip.take_news(),
         }
     }
@@ -191,10 +200,16 @@
         }
     }
 
+    /// Asks the store which roster is current, if this member's turn has come.
+    ///
+    /// The first in the roster's order asks and gossip carries its answer on. Each further one
+    /// asks only once the answer is older, so that the calls do not grow with the members.
     fn confirm(&mut self, now: Now, out: &mut Vec<Output>) {
         let age = now.at.since(self.tenure.confirmed_at());
+        let turn = self.tenure.roster().map_or(0, |roster| self.turn(roster));
+        let wait = CONFIRM_STEP.scale(turn as f64).min(CONFIRM_SPREAD);
         let unknown = self.tenure.number() == 0;
-        if now.at < self.fleet.confirm_at || (age < CONFIRM_AGE && !unknown) {
+        if now.at < self.fleet.confirm_at || (age < CONFIRM_AGE + wait && !unknown) {
             return;
         }
         let jitter = Span(self.rng.random_range(0..CONFIRM_JITTER.0));
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -97,19 +97,27 @@
         taken
     }
 
-    /// Returns the highest beats heard of, with this member's own.
+    /// Returns the highest beats heard of, with this member's own, in the order of `named`.
     #[must_use]
-    pub fn beats(&self) -> Vec<(u64, u32)> {
-        let others = self.members.iter().filter(|(_, member)| member.beat > 0);
-        let mut beats: Vec<_> = others.map(|(ident, member)| (*ident, member.beat)).collect();
-        beats.push((self.me, self.beat));
-        beats
+    pub fn beats(&self, named: impl Iterator<Item = u64>) -> Vec<u32> {
+        let beat = |ident| match self.members.get(&ident) {
+            Some(member) => member.beat,
+            None if ident == self.me => self.beat,
+            None => 0,
+        };
+        named.map(beat).collect()
     }
 
-    /// Takes in beats that another member has heard of.
-    pub fn hear(&mut self, now: Moment, charts: &Charts, beats: &[(u64, u32)]) {
-        for (ident, beat) in beats {
-            let Some(member) = self.members.get_mut(ident) else { continue };
+    /// Takes in beats that another member has heard of, in the order of `named`.
+    pub fn hear(
+        &mut self,
+        now: Moment,
+        charts: &Charts,
+        named: impl Iterator<Item = u64>,
+        beats: &[u32],
+    ) {
+        for (ident, beat) in named.zip(beats) {
+            let Some(member) = self.members.get_mut(&ident) else { continue };
             if *beat > member.beat {
                 member.beat = *beat;
                 member.heard_at = now;
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -40,8 +40,8 @@
         pub fresh: bool,
         /// Whether the sender leaves.
         pub leaving: bool,
-        /// Highest beats heard of, by member.
-        pub beats: Vec<(u64, u32)>,
+        /// Highest beats heard of, in the order of the roster that the number names.
+        pub beats: Vec<u32>,
         /// News to pass on.
         pub news: Vec<News>,
     }
--- /dev/null
+++ b/crates/policy/tests/border.rs
@@ -0,0 +1,84 @@
+//! The border between decisions and the world: no input or output, no clock, no random order.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Crates that decide.
+const DECIDING: [&str; 5] = ["base", "chart", "model", "lang", "policy"];
+/// Libraries that bring input, output or tasks.
+const OUTSIDE: [&str; 10] =
+    ["tokio", "hyper", "hyper-util", "quinn", "rustls", "xtra", "store", "peer", "entry", "log4rs"];
+/// Parts of the standard library that a decision must not use.
+const FORBIDDEN: [&str; 9] = [
+    "std::fs",
+    "std::io",
+    "std::thread",
+    "TcpStream",
+    "UdpSocket",
+    "Instant",
+    "SystemTime",
+    "HashMap",
+    "HashSet",
+];
+
+fn crates() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the folder of crates").to_owned()
+}
+
+/// Returns the lines of a manifest between its dependencies and those of its tests.
+fn dependencies(manifest: &str) -> Vec<&str> {
+    let from = manifest.split("[dependencies]").nth(1).unwrap_or_default();
+    let own = from.split("\n[").next().unwrap_or_default();
+    own.lines().filter_map(|line| line.split([' ', '=']).next()).collect()
+}
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).expect("a folder of sources") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else {
+            found.push(path);
+        }
+    }
+}
+
+#[test]
+fn deciding_crates_depend_on_no_outside() {
+    for name in DECIDING {
+        let manifest = fs::read_to_string(crates().join(name).join("Cargo.toml")).expect("read");
+        let dependencies = dependencies(&manifest);
+        assert!(!dependencies.is_empty(), "{name}");
+        for outside in OUTSIDE {
+            assert!(!dependencies.contains(&outside), "{name} depends on {outside}");
+        }
+    }
+}
+
+#[test]
+fn deciding_sources_use_no_outside() {
+    let mut count = 0;
+    for name in DECIDING {
+        let mut found = Vec::new();
+        sources(&crates().join(name).join("src"), &mut found);
+        for path in found {
+            count += 1;
+            let text = fs::read_to_string(&path).expect("read");
+            for word in FORBIDDEN {
+                let used = text
+                    .lines()
+                    .any(|line| !line.trim_start().starts_with("//") && contains_word(line, word));
+                assert!(!used, "{} uses {word}", path.display());
+            }
+        }
+    }
+    assert!(count > 30, "{count} files");
+}
+
+/// Tells whether a line has a word that is not part of a longer one.
+fn contains_word(line: &str, word: &str) -> bool {
+    line.match_indices(word).any(|(at, _)| {
+        let part = |c: Option<char>| c.is_some_and(|c| c.is_alphanumeric() || c == '_');
+        !part(line[..at].chars().next_back()) && !part(line[at + word.len()..].chars().next())
+    })
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod load;
 pub mod local;
 pub mod serve;
+pub mod slopes;
 pub mod store;
 pub mod upstream;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -7,9 +7,9 @@
 use clap::{Parser, Subcommand};
 use derive_more::{Display, Error, From};
 use rig::compare::{self, Name, Setting, Shape, Trace};
-use rig::load;
 use rig::local::{Local, Plan, SERVICE, TOKEN};
 use rig::upstream::Behaviour;
+use rig::{load, slopes};
 
 /// Connections of callers in measurements of latency.
 const CALLERS: usize = 16;
@@ -50,6 +50,15 @@
         #[arg(long, default_value_t = 3)]
         rounds: u32,
     },
+    /// Measures what control costs a node, over several sizes.
+    Slopes {
+        /// Virtual seconds for each size.
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Prints JSON for programs.
+        #[arg(long)]
+        json: bool,
+    },
     /// Compares ways to choose upstreams on one seeded trace in virtual time.
     Compare {
         /// Seed of the trace.
@@ -74,6 +83,7 @@
     let result = match arguments.work {
         Work::Local { time, entries, port } => local(time, entries, port).await,
         Work::Latency { rate, time, rounds } => latency(rate, time, rounds).await,
+        Work::Slopes { seconds, json } => show_slopes(seconds, json),
         Work::Compare { seed, calls, way } => {
             compare_ways(seed, calls, way);
             Ok(())
@@ -124,6 +134,63 @@
     Ok(())
 }
 
+fn show_slopes(seconds: u64, json: bool) -> Result<(), Fault> {
+    let mut costs = Vec::new();
+    for entries in [4, 8, 16, 32, 64] {
+        costs.push(slopes::measure(entries, 160, seconds)?);
+    }
+    for upstreams in [10, 80, 320, 620] {
+        costs.push(slopes::measure(16, upstreams, seconds)?);
+    }
+    if json {
+        println!("{}", serde_json::to_string(&costs).unwrap_or_default());
+        return Ok(());
+    }
+    println!(
+        "{:>7} {:>9} {:>9} {:>9} {:>13} {:>8} {:>13}",
+        "entries", "upstreams", "frames/s", "bytes/s", "store calls/s", "cpu %", "config bytes"
+    );
+    for cost in &costs {
+        println!(
+            "{:>7} {:>9} {:>9.1} {:>9.0} {:>13.2} {:>8.4} {:>13}",
+            cost.entries,
+            cost.upstreams,
+            cost.frames,
+            cost.bytes,
+            cost.store_calls,
+            cost.cpu_percent,
+            cost.config_bytes
+        );
+    }
+    print_fits(&costs);
+    for upstreams in [10, 35, 80, 160, 620] {
+        let micros = slopes::decision(upstreams, 20_000)?;
+        println!("decisions for a call, {upstreams} upstreams in its service: {micros:.2} us");
+    }
+    for upstreams in [10, 160, 620] {
+        let bytes = slopes::memory(64, upstreams)?;
+        println!("memory of one engine, {upstreams} upstreams: {} KB", bytes / 1_024);
+    }
+    Ok(())
+}
+
+fn print_fits(costs: &[slopes::Cost]) {
+    let (by_entries, by_upstreams) = costs.split_at(5);
+    let fits =
+        [("bytes/s by entries", by_entries, true), ("bytes/s by upstreams", by_upstreams, false)];
+    for (name, costs, entries) in fits {
+        let points: Vec<(f64, f64)> = costs
+            .iter()
+            .map(|cost| {
+                let size = if entries { cost.entries } else { cost.upstreams };
+                (size as f64, cost.bytes)
+            })
+            .collect();
+        let (slope, base) = slopes::fit(&points);
+        println!("{name}: {base:.0} + {slope:.2} for each");
+    }
+}
+
 fn way(text: &str) -> Result<Name, UnknownWay> {
     Name::parse(text).ok_or(UnknownWay)
 }
@@ -136,6 +203,8 @@
     #[display("{_0}")]
     Load(load::Fault),
     #[display("{_0}")]
+    Charts(policy::charts::Fault),
+    #[display("{_0}")]
     System(std::io::Error),
 }
 
--- /dev/null
+++ b/crates/rig/src/slopes.rs
@@ -0,0 +1,278 @@
+//! What control costs a node, measured over several sizes.
+//!
+//! Engines exchange frames in virtual time with no delay; frames are encoded to count bytes. The
+//! counts are the same in every run; processor time and memory are those of this machine.
+
+use std::time::Instant;
+
+use base::prelude::*;
+use model::Config;
+use model::command::{Command, Order};
+use peer::Envelope;
+use policy::attempt::Event;
+use policy::balance::{Least, Report};
+use policy::call::Request;
+use policy::engine::{Input, Output};
+use policy::message::{Frame, News};
+use policy::roster::{Member, Roster};
+use policy::{Charts, Engine, Now};
+use serde::Serialize;
+
+/// Time between ticks.
+const TICK: Span = Span::millis(20);
+/// Bytes that UDP, IP and QUIC add to a frame that travels alone, with its acknowledgement.
+const OVERHEAD: u64 = 110;
+
+/// The figures of one size.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Cost {
+    /// Entries.
+    pub entries: usize,
+    /// Upstreams.
+    pub upstreams: usize,
+    /// Frames that a node sends in a second.
+    pub frames: f64,
+    /// Bytes that a node sends and receives in a second, with what the transport adds.
+    pub bytes: f64,
+    /// Calls of the store in a second, of all nodes together.
+    pub store_calls: f64,
+    /// Processor time of a node for control, in percent of a core.
+    pub cpu_percent: f64,
+    /// Bytes of the encoded configuration.
+    pub config_bytes: usize,
+}
+
+/// Engines that talk with each other.
+struct Mesh {
+    engines: Vec<Engine<Least>>,
+    idents: Vec<u64>,
+    roster: Roster,
+    frames: u64,
+    bytes: u64,
+    store_calls: u64,
+}
+
+impl Mesh {
+    fn new(entries: usize, config: &Config) -> Result<Self, policy::charts::Fault> {
+        let charts = Charts::load()?;
+        let member = |number: usize| Member {
+            ident: policy::roster::ident(&format!("entry-{number}"), 0),
+            name: format!("entry-{number}"),
+            domain: format!("d{}", number % 7),
+            peer: ([127, 0, 0, 1], 1).into(),
+            caller: ([127, 0, 0, 1], 1).into(),
+        };
+        let members: Vec<Member> = (0..entries).map(member).collect();
+        let roster = Roster::default().changed(&[], &members);
+        let mut engines = Vec::new();
+        for member in &members {
+            let mut engine = Engine::new(charts.clone(), member.ident, "d1", member.ident, Least);
+            engine.join(member.clone());
+            let mut out = Vec::new();
+            let now = Now::default();
+            engine.input(now, Input::Config(Box::new(config.clone())), &mut out);
+            let roster = roster.clone();
+            engine.input(now, Input::Roster { asked_at: Moment(0), roster }, &mut out);
+            engines.push(engine);
+        }
+        let idents = members.iter().map(|member| member.ident).collect();
+        Ok(Self { engines, idents, roster, frames: 0, bytes: 0, store_calls: 0 })
+    }
+
+    fn input(&mut self, now: Now, number: usize, input: Input) {
+        let mut work = vec![(number, input)];
+        while let Some((number, input)) = work.pop() {
+            let mut out = Vec::new();
+            self.engines[number].input(now, input, &mut out);
+            let from = self.idents[number];
+            for output in out {
+                match output {
+                    Output::Send { to, frame } => {
+                        self.count(&frame);
+                        if let Some(to) = self.idents.iter().position(|ident| *ident == to) {
+                            work.push((to, Input::Peer { from, frame }));
+                        }
+                    }
+                    Output::Confirm => {
+                        self.store_calls += 1;
+                        let roster = self.roster.clone();
+                        work.push((number, Input::Roster { asked_at: now.at, roster }));
+                    }
+                    Output::Propose(_) => self.store_calls += 2,
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn count(&mut self, frame: &Frame) {
+        self.frames += 1;
+        let bytes = peer::encode(&Envelope::Frame(frame.clone())).map_or(0, |bytes| bytes.len());
+        self.bytes += bytes as u64 + OVERHEAD;
+    }
+}
+
+/// Measures one size over `seconds` of virtual time.
+///
+/// # Errors
+///
+/// Returns an error if a chart does not fit.
+pub fn measure(
+    entries: usize,
+    upstreams: usize,
+    seconds: u64,
+) -> Result<Cost, policy::charts::Fault> {
+    let config = config(upstreams);
+    let mut mesh = Mesh::new(entries, &config)?;
+    let news: Vec<u64> =
+        mesh.engines[0].catalog().upstreams.values().map(|one| one.ident).collect();
+    // The first seconds tell every member where each upstream is.
+    let mut at = Moment(0);
+    for (number, upstream) in news.iter().enumerate() {
+        let news = Frame::Message(policy::message::Message::Urgent(News::Thermal {
+            upstream: *upstream,
+            epoch: 2,
+        }));
+        let input = Input::Peer { from: 0, frame: news };
+        mesh.input(Now { at, unix_ms: 0 }, number % entries, input);
+    }
+    at = run(&mut mesh, at, Span::seconds(30));
+    (mesh.frames, mesh.bytes, mesh.store_calls) = (0, 0, 0);
+    let start = Instant::now();
+    run(&mut mesh, at, Span::seconds(seconds));
+    let busy = start.elapsed();
+    let nodes = entries as f64 * seconds as f64;
+    Ok(Cost {
+        entries,
+        upstreams,
+        frames: mesh.frames as f64 / nodes,
+        bytes: 2.0 * mesh.bytes as f64 / nodes,
+        store_calls: mesh.store_calls as f64 / seconds as f64,
+        cpu_percent: 100.0 * busy.as_secs_f64() / nodes,
+        config_bytes: config.encode().len(),
+    })
+}
+
+fn run(mesh: &mut Mesh, from: Moment, span: Span) -> Moment {
+    let mut at = from;
+    while at < from + span {
+        at = at + TICK;
+        for number in 0..mesh.engines.len() {
+            mesh.input(Now { at, unix_ms: at.0 / 1_000 }, number, Input::Tick);
+        }
+    }
+    at
+}
+
+/// Measures the decisions for one call with so many upstreams in its service, in microseconds.
+///
+/// # Errors
+///
+/// Returns an error if a chart does not fit.
+pub fn decision(upstreams: usize, calls: u32) -> Result<f64, policy::charts::Fault> {
+    let mut mesh = Mesh::new(1, &config_of(upstreams, 1))?;
+    let idents: Vec<u64> =
+        mesh.engines[0].catalog().upstreams.values().map(|one| one.ident).collect();
+    for upstream in idents {
+        let news = News::Thermal { upstream, epoch: 2 };
+        let frame = Frame::Message(policy::message::Message::Urgent(news));
+        mesh.input(Now::default(), 0, Input::Peer { from: 0, frame });
+    }
+    let engine = &mut mesh.engines[0];
+    let Some(service) = engine.catalog().service("s0") else { return Ok(0.0) };
+    let start = Instant::now();
+    let mut out = Vec::new();
+    for number in 0..calls {
+        let now = Now { at: Moment(1_000_000 + u64::from(number) * 100), unix_ms: 0 };
+        let request = Request {
+            token: u64::from(number),
+            service,
+            workspace: None,
+            route: None,
+            idempotent: true,
+            replayable: true,
+            deadline: now.at + Span::seconds(1),
+            key: None,
+            digest: u64::from(number),
+        };
+        engine.input(now, Input::Request(request), &mut out);
+        let granted = out.drain(..).find_map(|output| match output {
+            Output::Grant { attempt, .. } => Some(attempt),
+            _ => None,
+        });
+        let Some(attempt) = granted else { continue };
+        let report = Some(Report { in_flight: number % 4, ..Report::default() });
+        for (event, report) in [(Event::Sent, None), (Event::Head, report), (Event::End, None)] {
+            engine.input(now, Input::Attempt { attempt, event, report }, &mut out);
+        }
+        out.clear();
+    }
+    Ok(start.elapsed().as_secs_f64() * 1e6 / f64::from(calls))
+}
+
+/// Returns the memory that one engine takes with so many entries and upstreams, in bytes.
+///
+/// # Errors
+///
+/// Returns an error if a chart does not fit.
+pub fn memory(entries: usize, upstreams: usize) -> Result<u64, policy::charts::Fault> {
+    let config = config(upstreams);
+    let before = resident();
+    let mesh = Mesh::new(entries, &config)?;
+    let after = resident();
+    let each = after.saturating_sub(before) / entries as u64;
+    drop(mesh);
+    Ok(each)
+}
+
+/// Returns the memory of this process in bytes.
+fn resident() -> u64 {
+    let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = pages.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4_096
+}
+
+/// Makes a configuration with so many upstreams over 18 services and 7 failure domains.
+#[must_use]
+pub fn config(upstreams: usize) -> Config {
+    config_of(upstreams, 18)
+}
+
+fn config_of(upstreams: usize, services: usize) -> Config {
+    let mut commands = Vec::new();
+    commands.extend((0..7).map(|number| Command::CreateDomain { name: format!("d{number}") }));
+    for number in 0..services {
+        commands.push(Command::CreateService {
+            name: format!("s{number}"),
+            slots: None,
+            cold: None,
+            timeout_ms: None,
+        });
+        let service = format!("s{number}");
+        commands.push(Command::CreateVersion { name: "v1".into(), service });
+    }
+    commands.extend((0..upstreams).map(|number| Command::CreateUpstream {
+        name: format!("u{number}"),
+        service: format!("s{}", number % services),
+        version: "v1".into(),
+        domain: format!("d{}", number % 7),
+        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 8_080).into(),
+    }));
+    commands.iter().fold(Config::default(), |config, command| {
+        let order = Order { who: "op".into(), when_ms: 0, write: 1, text: "create".into() };
+        // Each name is new, so nothing is refused.
+        config.apply(command, order).unwrap_or(config)
+    })
+}
+
+/// Returns the slope and the intercept of the least-squares line through points.
+#[must_use]
+pub fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    (slope, mean_y - slope * mean_x)
+}
--- /dev/null
+++ b/crates/rig/tests/slopes.rs
@@ -0,0 +1,32 @@
+//! Bounds on what control costs a node; all of them are counts.
+
+use rig::slopes::{fit, measure};
+
+/// Bytes in a second that a node may spend for control.
+const BYTES: f64 = 11_000.0;
+/// Calls of the store in a second of all nodes together.
+const STORE_CALLS: f64 = 1.5;
+const SECONDS: u64 = 20;
+
+#[test]
+fn cost_stays_below_its_bounds() {
+    for (entries, upstreams) in [(4, 30), (16, 30), (16, 620), (48, 160)] {
+        let cost = measure(entries, upstreams, SECONDS).expect("charts fit");
+        assert!(cost.bytes <= BYTES, "{cost:?}");
+        assert!(cost.store_calls <= STORE_CALLS, "{cost:?}");
+        assert!(cost.config_bytes < store::MOST_BYTES / 2, "{cost:?}");
+    }
+}
+
+#[test]
+fn store_calls_do_not_grow_with_entries() {
+    let points: Vec<(f64, f64)> = [4, 8, 16, 32]
+        .into_iter()
+        .map(|entries| {
+            let cost = measure(entries, 30, SECONDS).expect("charts fit");
+            (entries as f64, cost.store_calls)
+        })
+        .collect();
+    let (slope, _) = fit(&points);
+    assert!(slope < 0.02, "{slope} calls a second more for each entry: {points:?}");
+}
