Run every measurement with its bound by one command

Cause: bounds stood in several commands and tests, and nothing told what an entry costs in processor time for a call.

Change: 'rig bench' runs the choices, the cost of control and the latency, prints each value with its bound and writes them as JSON; 'rig latency' tells the processor time of the whole process for a call on each path.

--- /dev/null
+++ b/crates/rig/src/bench.rs
@@ -0,0 +1,101 @@
+//! Every measurement with its bound, in one run.
+
+use base::derive::Symbol;
+use serde::Serialize;
+
+use crate::compare::{self, Name, Row, Setting, Shape, Trace};
+use crate::load::Figures;
+use crate::slopes;
+
+/// One measurement against its bound.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Check {
+    /// What was measured.
+    pub name: String,
+    /// Its value: a count, or a ratio against a baseline of the same run.
+    pub value: f64,
+    /// The greatest value that passes.
+    pub bound: f64,
+    /// Whether it depends on this machine's speed.
+    pub timed: bool,
+}
+
+impl Check {
+    fn new(name: impl Into<String>, value: f64, bound: f64) -> Self {
+        Self { name: name.into(), value, bound, timed: false }
+    }
+
+    /// Tells whether the value is within its bound.
+    #[must_use]
+    pub fn passes(&self) -> bool {
+        self.value <= self.bound
+    }
+}
+
+/// Checks the chosen way against the kept baselines.
+#[must_use]
+pub fn choices(calls: usize, seed: u64) -> Vec<Check> {
+    let setting = Setting::default();
+    let mut checks = Vec::new();
+    for shape in [Shape::Steady(0.6), Shape::Steady(0.85), Shape::Step(0.85)] {
+        let trace = Trace::new(&setting, shape, calls, seed);
+        let row = |name| compare::one(name, &setting, &trace, seed);
+        let held = row(Name::Held);
+        for (name, bound) in [(Name::TwoChoices, 0.95), (Name::Probing, 0.95), (Name::Exact, 1.0)] {
+            let ratio = held.p99 / row(name).p99;
+            checks.push(Check::new(format!("p99 against {}, {shape}", name.name()), ratio, bound));
+        }
+        checks.push(Check::new(format!("late or refused, {shape}"), missed(&held), 0.0));
+    }
+    let trace = Trace::new(&setting, Shape::Steady(1.3), calls, seed);
+    let row = |name| compare::one(name, &setting, &trace, seed);
+    let ratio = row(Name::Least).answered as f64 / row(Name::Held).answered as f64;
+    checks.push(Check::new("answers without holding against with, 130 % of capacity", ratio, 0.95));
+    checks
+}
+
+fn missed(row: &Row) -> f64 {
+    (row.late + row.refused) as f64
+}
+
+/// Checks what control costs.
+///
+/// # Errors
+///
+/// Returns an error if a chart does not fit.
+pub fn control(seconds: u64) -> Result<Vec<Check>, policy::charts::Fault> {
+    let mut checks = Vec::new();
+    for (entries, upstreams) in [(16, 30), (16, 620), (64, 620)] {
+        let cost = slopes::measure(entries, upstreams, seconds)?;
+        let size = format!("{entries} entries, {upstreams} upstreams");
+        checks.push(Check::new(format!("bytes/s of a node, {size}"), cost.bytes, 11_000.0));
+        checks.push(Check::new(format!("store calls/s, {size}"), cost.store_calls, 1.5));
+        let cpu = Check::new(format!("% of a core for decisions, {size}"), cost.cpu_percent, 2.6);
+        checks.push(Check { timed: true, ..cpu });
+    }
+    let few = slopes::decision(10, 20_000)?;
+    let many = slopes::decision(160, 20_000)?;
+    let ratio = Check::new("decisions with 160 upstreams against 10", many / few, 16.0);
+    checks.push(Check { timed: true, ..ratio });
+    Ok(checks)
+}
+
+/// Checks what an entry adds to a call; both paths were measured in the same run.
+#[must_use]
+pub fn latency(direct: &Figures, entry: &Figures) -> Vec<Check> {
+    let added = entry.p99_us.saturating_sub(direct.p99_us) as f64;
+    let check = Check::new("us added for 99 in 100", added, 770.0);
+    vec![Check { timed: true, ..check }]
+}
+
+/// Prints checks as a table and tells whether all of them pass.
+#[must_use]
+pub fn print(checks: &[Check]) -> bool {
+    println!("{:<58} {:>10} {:>10}  result", "measurement", "value", "bound");
+    for check in checks {
+        let result = if check.passes() { "pass" } else { "FAIL" };
+        let timed = if check.timed { " (timed)" } else { "" };
+        println!("{:<58} {:>10.3} {:>10.3}  {result}{timed}", check.name, check.value, check.bound);
+    }
+    checks.iter().all(Check::passes)
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what surrounds the entries: the store, upstreams and callers.
 
+pub mod bench;
 pub mod caller;
 pub mod compare;
 pub mod load;
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -17,6 +17,9 @@
 /// Longest latency that is told apart, in microseconds.
 const MOST_MICROS: u64 = 60_000_000;
 
+/// Microseconds in the system's unit of processor time.
+const TICK_US: f64 = 10_000.0;
+
 /// Latencies of one path.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Figures {
@@ -30,6 +33,8 @@
     pub p99_us: u64,
     /// 999 in 1000, in microseconds.
     pub p999_us: u64,
+    /// Processor time of the whole process for one call, in microseconds.
+    pub cpu_us: f64,
 }
 
 /// A call that failed.
@@ -96,7 +101,7 @@
     time: Duration,
 ) -> Result<Figures, Fault> {
     let gap = Duration::from_secs_f64(callers as f64 / rate);
-    let start = Instant::now();
+    let (start, used) = (Instant::now(), processor_ticks());
     let tasks: Vec<_> = (0..callers)
         .map(|number| {
             let address = addresses[number % addresses.len()];
@@ -115,9 +120,17 @@
         p50_us: all.value_at_quantile(0.5),
         p99_us: all.value_at_quantile(0.99),
         p999_us: all.value_at_quantile(0.999),
+        cpu_us: (processor_ticks() - used) as f64 * TICK_US / all.len().max(1) as f64,
     })
 }
 
+/// Returns the processor time that this process has used, in the system's units.
+fn processor_ticks() -> u64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let behind = stat.rsplit(')').next().unwrap_or_default();
+    behind.split(' ').skip(12).take(2).filter_map(|text| text.parse::<u64>().ok()).sum()
+}
+
 async fn pace(
     address: SocketAddr,
     offset: Duration,
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -9,10 +9,14 @@
 use rig::compare::{self, Name, Setting, Shape, Trace};
 use rig::local::{Local, Plan, SERVICE, TOKEN};
 use rig::upstream::Behaviour;
-use rig::{load, slopes};
+use rig::{bench, load, slopes};
 
 /// Connections of callers in measurements of latency.
 const CALLERS: usize = 16;
+/// Virtual seconds for each size in a run of all measurements.
+const BENCH_SECONDS: u64 = 60;
+/// Calls a second in a run of all measurements: what one of 16 entries gets of 45,000.
+const BENCH_RATE: f64 = 2_800.0;
 /// First port of a local deployment.
 const FIRST_PORT: u16 = 17_000;
 
@@ -50,6 +54,12 @@
         #[arg(long, default_value_t = 3)]
         rounds: u32,
     },
+    /// Runs every measurement with its bound.
+    Bench {
+        /// File for the results as JSON.
+        #[arg(long, value_name = "FILE")]
+        out: Option<std::path::PathBuf>,
+    },
     /// Measures what control costs a node, over several sizes.
     Slopes {
         /// Virtual seconds for each size.
@@ -83,6 +93,7 @@
     let result = match arguments.work {
         Work::Local { time, entries, port } => local(time, entries, port).await,
         Work::Latency { rate, time, rounds } => latency(rate, time, rounds).await,
+        Work::Bench { out } => run_bench(out).await,
         Work::Slopes { seconds, json } => show_slopes(seconds, json),
         Work::Compare { seed, calls, way } => {
             compare_ways(seed, calls, way);
@@ -110,7 +121,10 @@
     }
 }
 
-async fn latency(rate: f64, time: Duration, rounds: u32) -> Result<(), Fault> {
+/// Figures of direct calls and of calls through an entry, in rounds that alternate.
+type Rounds = Vec<(load::Figures, load::Figures)>;
+
+async fn measure_latency(rate: f64, time: Duration, rounds: u32) -> Result<Rounds, Fault> {
     let behaviour = Behaviour { service: Duration::ZERO, ..Behaviour::default() };
     let plan = Plan { entries: 1, upstreams: 4, next_upstreams: 0, behaviour, ..Plan::default() };
     let local = Local::start(&plan).await?;
@@ -118,22 +132,53 @@
     let entry = [local.entries[0].listen.callers];
     // The first calls find every upstream cold.
     load::measure(&entry, CALLERS, rate / 10.0, time).await?;
+    let mut figures = Vec::new();
+    for _ in 0..rounds {
+        let direct = load::measure(&direct, CALLERS, rate, time).await?;
+        let entry = load::measure(&entry, CALLERS, rate, time).await?;
+        figures.push((direct, entry));
+    }
+    Ok(figures)
+}
+
+async fn latency(rate: f64, time: Duration, rounds: u32) -> Result<(), Fault> {
+    let measured = measure_latency(rate, time, rounds).await?;
     println!(
-        "{:<8} {:>8} {:>9} {:>8} {:>8} {:>8}",
-        "path", "calls", "calls/s", "p50 us", "p99 us", "p99.9 us"
+        "{:<8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>9}",
+        "path", "calls", "calls/s", "p50 us", "p99 us", "p99.9 us", "cpu us"
     );
-    for _ in 0..rounds {
-        for (path, addresses) in [("direct", &direct[..]), ("entry", &entry[..])] {
-            let figures = load::measure(addresses, CALLERS, rate, time).await?;
+    for (direct, entry) in measured {
+        for (path, figures) in [("direct", direct), ("entry", entry)] {
             println!(
-                "{path:<8} {:>8} {:>9.0} {:>8} {:>8} {:>8}",
-                figures.calls, figures.rate, figures.p50_us, figures.p99_us, figures.p999_us
+                "{path:<8} {:>8} {:>9.0} {:>8} {:>8} {:>8} {:>9.1}",
+                figures.calls,
+                figures.rate,
+                figures.p50_us,
+                figures.p99_us,
+                figures.p999_us,
+                figures.cpu_us
             );
         }
     }
     Ok(())
 }
 
+async fn run_bench(out: Option<std::path::PathBuf>) -> Result<(), Fault> {
+    let mut checks = bench::choices(compare::CALLS, 1);
+    checks.extend(bench::control(BENCH_SECONDS)?);
+    let rounds = measure_latency(BENCH_RATE, Duration::from_secs(3), 3).await?;
+    // The middle round stands for all, so that one disturbance does not decide.
+    let mut rounds = rounds;
+    rounds.sort_by_key(|(direct, entry)| entry.p99_us.saturating_sub(direct.p99_us));
+    let (direct, entry) = rounds[rounds.len() / 2];
+    checks.extend(bench::latency(&direct, &entry));
+    let passed = bench::print(&checks);
+    if let Some(path) = out {
+        std::fs::write(path, serde_json::to_vec(&checks).unwrap_or_default())?;
+    }
+    if passed { Ok(()) } else { Err(Fault::Bound) }
+}
+
 fn show_slopes(seconds: u64, json: bool) -> Result<(), Fault> {
     let mut costs = Vec::new();
     for entries in [4, 8, 16, 32, 64] {
@@ -202,6 +247,9 @@
     Local(rig::local::Fault),
     #[display("{_0}")]
     Load(load::Fault),
+    #[display("a measurement is outside its bound")]
+    #[from(skip)]
+    Bound,
     #[display("{_0}")]
     Charts(policy::charts::Fault),
     #[display("{_0}")]
