Write the pages for operators, developers and capacity

Cause: what was decided, what it costs at the target's size and how to run it stood only in commits.

Change: design, interfaces, capacity, measurements, operations, glossary, manual pages, an example of settings that a test reads, and a test of how fast a change spreads.

--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -59,3 +59,9 @@
         .assert_eq(&Settings::parse("[]").unwrap_err().to_string());
     assert!(Settings::parse("{ nothing").is_err());
 }
+
+#[test]
+fn parse_documented_example() {
+    let settings = Settings::parse(include_str!("../../../docs/entry.jsonc")).expect("it fits");
+    assert_eq!(settings.limits, entry::settings::Limits::default());
+}
--- /dev/null
+++ b/crates/policy/tests/spread.rs
@@ -0,0 +1,79 @@
+//! Tests of how fast a change is in force everywhere, and that it never reverts.
+
+mod common;
+
+use base::prelude::*;
+use common::{Fleet, config};
+use model::command::Command;
+
+/// Time within which a change has to be in force everywhere.
+const BOUND: Span = Span::seconds(5);
+
+fn numbers(fleet: &Fleet) -> Vec<u64> {
+    fleet.entries.iter().flatten().map(|engine| engine.catalog().number).collect()
+}
+
+/// Changes the configuration at the first entry and returns the time until all have it in force.
+fn spread(fleet: &mut Fleet, name: &str) -> Span {
+    fleet.order(0, Command::CreateDomain { name: name.into() });
+    let (wanted, start) = (fleet.config().number, fleet.now);
+    while fleet.now < start + Span::seconds(30) {
+        if numbers(fleet).iter().all(|number| *number >= wanted) {
+            return fleet.now.since(start);
+        }
+        fleet.run(Span::millis(20));
+    }
+    panic!("not in force everywhere: {:?}, wanted {wanted}", numbers(fleet));
+}
+
+#[test]
+fn change_is_in_force_within_seconds() {
+    for entries in [4, 16, 48] {
+        let mut fleet = Fleet::new(entries, config(4, 4, 1));
+        fleet.run(Span::seconds(30));
+        let mut longest = Span::ZERO;
+        for round in 0..10 {
+            longest = longest.max(spread(&mut fleet, &format!("x{round}")));
+            fleet.run(Span::seconds(1));
+        }
+        println!("{entries} entries: in force everywhere after {} ms", longest.as_millis());
+        assert!(longest <= BOUND, "{entries} entries: {} ms", longest.as_millis());
+    }
+}
+
+#[test]
+fn change_reaches_those_that_hear_half_of_the_others() {
+    let mut fleet = Fleet::new(8, config(4, 4, 1));
+    fleet.run(Span::seconds(30));
+    fleet.storeless.extend(0..8);
+    for one in 0..8 {
+        for other in (0..8).filter(|other| (one + other) % 2 == 1) {
+            // Every odd pair of entries is cut one way.
+            fleet.cut.insert((one.max(other), one.min(other)));
+        }
+    }
+    assert!(spread(&mut fleet, "x") <= BOUND);
+}
+
+#[test]
+fn change_never_reverts() {
+    let mut fleet = Fleet::new(6, config(4, 4, 1));
+    fleet.run(Span::seconds(30));
+    let mut last = numbers(&fleet);
+    for round in 0..12 {
+        fleet.paused.insert(round % 6);
+        fleet.order((round + 1) % 6, Command::CreateDomain { name: format!("x{round}") });
+        for _ in 0..20 {
+            fleet.run(Span::millis(50));
+            let now = numbers(&fleet);
+            assert!(now.iter().zip(&last).all(|(now, last)| now >= last), "{last:?} to {now:?}");
+            last = now;
+        }
+        fleet.paused.clear();
+    }
+    // Without the store the others alone bring it to those that were paused.
+    fleet.storeless.extend(0..7);
+    fleet.run(Span::seconds(3));
+    let wanted = fleet.config().number;
+    assert!(numbers(&fleet).iter().all(|number| *number == wanted), "{:?}", numbers(&fleet));
+}
