Give the daemon and withdrawn domains charts, and split what had grown

Cause: the order of a stop and the state of a failure domain were code with flags, against the shape; the file of cold starts also held the roster's changes and every message of peers.

Change: charts/daemon.jsonc and charts/withdrawal.jsonc are interpreted; engine/members.rs takes the roster's changes and the dispatch of messages; dependencies that nothing uses are gone.

Result: the same tests pass, among them a stop that cuts no call in flight and a domain that goes and comes back twice.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chart::Chart;
 use derive_more::{Display, Error, From};
 use peer::{Keys, Material};
 use policy::balance::Least;
 use policy::engine::Input;
+use policy::life::{Action, Event, State};
 use policy::roster::{self, Member};
 use policy::{Charts, Engine, charts};
 use store::Http;
@@ -75,6 +77,7 @@
     /// Ends with the handle, and its tasks with it.
     _tasks: JoinSet<()>,
     settings: Settings,
+    chart: Chart<State, Event, Action>,
 }
 
 /// Starts the tasks of an entry.
@@ -84,6 +87,7 @@
 /// Returns an error if a chart or a key does not fit or an address cannot be listened on.
 pub async fn start(settings: Settings) -> Result<Handle, Fault> {
     let charts = Charts::load()?;
+    let chart = charts.daemon.clone();
     let keys = match &settings.keys {
         Some(keys) => read_keys(keys)?,
         // Nobody else trusts this material, so the entry is alone.
@@ -137,7 +141,7 @@
     let front = Front { steer: way, clock, limits: Arc::new(settings.limits) };
     let front = tokio::spawn(front::accept(front, callers, stopping));
     log::info!("event=started name={} callers={}", settings.name, listen.callers);
-    Ok(Handle { listen, steer, peers, stop, front, _tasks: tasks, settings })
+    Ok(Handle { listen, steer, peers, stop, front, _tasks: tasks, settings, chart })
 }
 
 fn member(settings: &Settings, listen: Listen, ident: u64) -> Member {
@@ -188,23 +192,60 @@
     /// it takes no new connections, lets calls in progress end, and ends its tasks. Returns the
     /// number of calls that were cut because the time for stopping was over.
     pub async fn stop(mut self) -> usize {
-        let limits = self.settings.limits;
-        let _ = self.steer.send(Feed(Input::Leave)).await;
-        tokio::time::sleep(limits.resolve_time).await;
-        // The receiver lives in the front's task, which may have ended already.
-        let _ = self.stop.send(true);
-        let ended = tokio::time::timeout(limits.stop_time, &mut self.front).await;
-        let _ = self.steer.send(Feed(Input::Stop)).await;
-        let cut = match ended {
-            Ok(_) => 0,
-            Err(_) => {
-                self.front.abort();
-                self.steer.send(Inspect).await.map_or(0, |state| state.engine.calls)
+        let mut state = self.chart.initial();
+        let mut event = Event::Ordered;
+        let mut cut = 0;
+        while state != State::Stopped {
+            let step = self.chart.step(state, event);
+            let actions = step.actions.to_vec();
+            state = step.next;
+            for action in actions {
+                cut += self.carry_out(action).await;
             }
-        };
+            event = self.next_event(state).await;
+        }
         log::info!("event=stopped cut={cut}");
         cut
     }
+
+    /// Carries out one step of stopping and returns the number of calls that it cut.
+    async fn carry_out(&mut self, action: Action) -> usize {
+        match action {
+            Action::Leave => {
+                let _ = self.steer.send(Feed(Input::Leave)).await;
+            }
+            // The receiver lives in the front's task, which may have ended already.
+            Action::Close => {
+                let _ = self.stop.send(true);
+            }
+            Action::Refuse => {
+                let _ = self.steer.send(Feed(Input::Stop)).await;
+            }
+            Action::Cut => {
+                self.front.abort();
+                return self.steer.send(Inspect).await.map_or(0, |state| state.engine.calls);
+            }
+        }
+        0
+    }
+
+    /// Waits for what ends a state.
+    async fn next_event(&mut self, state: State) -> Event {
+        let limits = self.settings.limits;
+        match state {
+            State::Serving | State::Stopped => Event::Ordered,
+            State::Leaving => {
+                tokio::time::sleep(limits.resolve_time).await;
+                Event::Forgotten
+            }
+            State::Draining => {
+                match tokio::time::timeout(limits.stop_time, &mut self.front).await {
+                    Ok(_) => Event::Ended,
+                    Err(_) => Event::Overdue,
+                }
+            }
+        }
+    }
 }
 
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Fault> {
--- a/crates/policy/src/charts.rs
+++ b/crates/policy/src/charts.rs
@@ -3,7 +3,7 @@
 use chart::Chart;
 use derive_more::{Display, Error};
 
-use crate::{attempt, member, rollout, upstream};
+use crate::{attempt, life, member, rollout, upstream, withdrawal};
 
 /// The text of the upstream's chart.
 pub const UPSTREAM: &str = include_str!("../../../charts/upstream.jsonc");
@@ -13,6 +13,10 @@
 pub const MEMBER: &str = include_str!("../../../charts/member.jsonc");
 /// The text of the move's chart.
 pub const MOVE: &str = include_str!("../../../charts/move.jsonc");
+/// The text of the chart of an entry's own life.
+pub const DAEMON: &str = include_str!("../../../charts/daemon.jsonc");
+/// The text of the chart of a failure domain.
+pub const WITHDRAWAL: &str = include_str!("../../../charts/withdrawal.jsonc");
 
 /// A chart that does not fit the code.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -36,6 +40,10 @@
     pub member: Chart<member::State, member::Event, member::Action>,
     /// A planned move.
     pub rollout: Chart<rollout::State, rollout::Event, rollout::Action>,
+    /// The life of an entry.
+    pub daemon: Chart<life::State, life::Event, life::Action>,
+    /// A failure domain.
+    pub withdrawal: Chart<withdrawal::State, withdrawal::Event, withdrawal::Action>,
 }
 
 impl Charts {
@@ -51,6 +59,8 @@
             attempt: Chart::load(ATTEMPT).map_err(fault("attempt"))?,
             member: Chart::load(MEMBER).map_err(fault("member"))?,
             rollout: Chart::load(MOVE).map_err(fault("move"))?,
+            daemon: Chart::load(DAEMON).map_err(fault("daemon"))?,
+            withdrawal: Chart::load(WITHDRAWAL).map_err(fault("withdrawal"))?,
         })
     }
 }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -6,6 +6,7 @@
 mod dump;
 mod fleet;
 mod keyed;
+mod members;
 mod moves;
 mod outcome;
 
@@ -33,7 +34,7 @@
 use crate::retry::Budget;
 use crate::roster::{Member, Roster, Tenure};
 use crate::upstream::{self, Upstream};
-use crate::{Charts, Now};
+use crate::{Charts, Now, withdrawal};
 
 /// Calls that wait at one entry for one service at the most.
 const QUEUE_BOUND: usize = 256;
@@ -216,7 +217,7 @@
     plans: SecondaryMap<key::Move, moves::Plan>,
     claims: BTreeMap<u64, key::Call>,
     early: Vec<(u64, Message)>,
-    out_domains: Vec<key::Domain>,
+    domains: SecondaryMap<key::Domain, withdrawal::State>,
     home: Option<key::Domain>,
     home_name: String,
     chooser: C,
@@ -248,7 +249,7 @@
             plans: SecondaryMap::new(),
             claims: BTreeMap::new(),
             early: Vec::new(),
-            out_domains: Vec::new(),
+            domains: SecondaryMap::new(),
             home: None,
             home_name: home.into(),
             chooser,
@@ -328,26 +329,42 @@
         self.drain_queues(now, out);
     }
 
-    /// Notes which failure domains are out; upstreams of those that return start cold.
+    /// Follows the orders that take failure domains out and bring them back.
     fn watch_domains(&mut self, now: Now, out: &mut Vec<Output>) {
-        let is_out = |domain: &key::Domain| self.catalog.is_out(*domain, now.unix_ms);
-        let outs: Vec<key::Domain> = self.catalog.domains.keys().filter(is_out).collect();
-        let before = std::mem::replace(&mut self.out_domains, outs);
-        for domain in before {
-            if self.out_domains.contains(&domain) {
-                continue;
-            }
-            let inside = |(_, upstream): &(key::Upstream, &model::catalog::Upstream)| {
-                upstream.domain == domain
-            };
-            let back: Vec<_> =
-                self.catalog.upstreams.iter().filter(inside).map(|(key, _)| key).collect();
-            for upstream in back {
-                self.upstream_event(now, upstream, upstream::Event::Returned, out);
+        let domains: Vec<key::Domain> = self.catalog.domains.keys().collect();
+        for domain in domains {
+            let ordered_out = self.catalog.is_out(domain, now.unix_ms);
+            let event =
+                if ordered_out { withdrawal::Event::OrderedOut } else { withdrawal::Event::Back };
+            let chart = &self.charts.withdrawal;
+            let state = self.domains.get(domain).copied().unwrap_or_else(|| chart.initial());
+            let step = chart.step(state, event);
+            let actions = step.actions.to_vec();
+            self.domains.insert(domain, step.next);
+            for action in actions {
+                match action {
+                    withdrawal::Action::Restart => self.restart_domain(now, domain, out),
+                }
             }
         }
     }
 
+    /// Lets the upstreams of a failure domain start cold.
+    fn restart_domain(&mut self, now: Now, domain: key::Domain, out: &mut Vec<Output>) {
+        let inside =
+            |(_, upstream): &(key::Upstream, &model::catalog::Upstream)| upstream.domain == domain;
+        let back: Vec<_> =
+            self.catalog.upstreams.iter().filter(inside).map(|(key, _)| key).collect();
+        for upstream in back {
+            self.upstream_event(now, upstream, upstream::Event::Returned, out);
+        }
+    }
+
+    /// Tells whether a failure domain gets no new work.
+    fn is_out(&self, domain: key::Domain) -> bool {
+        self.domains.get(domain) == Some(&withdrawal::State::Out)
+    }
+
     /// Drains upstreams that the platform says are leaving.
     fn drain_listed(&mut self, now: Now, addresses: &[SocketAddr], out: &mut Vec<Output>) {
         let listed = |(_, one): &(key::Upstream, &model::catalog::Upstream)| {
--- a/crates/policy/src/engine/calls.rs
+++ b/crates/policy/src/engine/calls.rs
@@ -161,7 +161,7 @@
     /// Tells whether nothing but load speaks against sending a call to an upstream.
     pub(super) fn may_go(&self, now: Now, call: key::Call, key: key::Upstream) -> bool {
         let domain = self.catalog.upstreams[key].domain;
-        !self.out_domains.contains(&domain)
+        !self.is_out(domain)
             && now.at >= self.upstreams[key].shed_until
             && !self.calls[call].failed.contains(&key)
     }
--- a/crates/policy/src/engine/cold.rs
+++ b/crates/policy/src/engine/cold.rs
@@ -9,18 +9,14 @@
 use super::{Engine, Output};
 use crate::Now;
 use crate::balance::Chooser;
-use crate::claim::Asked;
-use crate::message::{Ceded, Message, News};
+use crate::message::{Message, News};
 use crate::quota::{self, Allotment, GRANT_TERM};
-use crate::roster::Roster;
 use crate::upstream::{Event, State};
 
 /// Share of an owner's calls that goes to its cold upstreams although warm ones have room.
 const EXPLORE: f64 = 0.2;
 /// Asks of one entry that are open at a time, for each service.
 const OPEN_ASKS: usize = 8;
-/// Messages that are kept for a roster that is not known yet.
-const MOST_EARLY: usize = 1_024;
 /// Time after a denial or a lost ask before the same upstream is asked again.
 const ASK_PAUSE: Span = Span::millis(20);
 
@@ -52,87 +48,6 @@
 }
 
 impl<C: Chooser> Engine<C> {
-    /// Adopts a roster and cedes what this member no longer owns.
-    pub(super) fn adopt_roster(
-        &mut self,
-        now: Now,
-        asked_at: Moment,
-        roster: &Roster,
-        out: &mut Vec<Output>,
-    ) {
-        self.fleet.vacant = roster.number == 0;
-        let longest = self.longest_linger();
-        let before = self.tenure.roster().cloned();
-        if !self.tenure.adopt(now.at, asked_at, roster, longest) {
-            return;
-        }
-        let me = self.tenure.me();
-        self.ledger.adopt(now.at, me, before.as_ref(), roster);
-        self.gossip.keep(now.at, roster.members.keys().copied());
-        let mut rows = self.surrender(now, roster);
-        for to in self.tenure.cession().to.clone() {
-            let rows = rows.remove(&to).unwrap_or_default();
-            out.push(Output::message(to, Message::Cede { number: roster.number, rows }));
-        }
-        for to in roster.members.keys().copied().filter(|member| *member != me) {
-            self.tell_records(to, out);
-        }
-        for (from, message) in std::mem::take(&mut self.early) {
-            self.peer(now, from, message, out);
-        }
-        self.drain_queues(now, out);
-    }
-
-    /// Tells a member of the records that it has to keep by the present roster.
-    fn tell_records(&self, to: u64, out: &mut Vec<Output>) {
-        let Some(roster) = self.tenure.roster() else { return };
-        let number = roster.number;
-        if !roster.previous.contains(&self.tenure.me()) {
-            return;
-        }
-        for part in self.ledger.rows(roster, to) {
-            out.push(Output::message(to, Message::Records { number, part }));
-        }
-    }
-
-    /// Answers a member that misses what the change of the roster should have brought it.
-    fn recalled(&self, from: u64, number: u64, out: &mut Vec<Output>) {
-        if number != self.tenure.number() {
-            return;
-        }
-        if self.tenure.cession().to.contains(&from) {
-            // What was out went with the first cession; what is repeated is that nothing more is.
-            out.push(Output::message(from, Message::Cede { number, rows: Vec::new() }));
-        }
-        self.tell_records(from, out);
-    }
-
-    /// Gives up the state of upstreams that others own now, by their owners.
-    fn surrender(&mut self, now: Now, roster: &Roster) -> BTreeMap<u64, Vec<Ceded>> {
-        let mut rows: BTreeMap<u64, Vec<Ceded>> = BTreeMap::new();
-        let me = self.tenure.me();
-        for (upstream, allotment) in std::mem::take(&mut self.allotments) {
-            match roster.owner(upstream) {
-                Some(owner) if owner != me => {
-                    let open = allotment.out.iter().filter(|(_, grant)| grant.until > now.at);
-                    let out = open.map(|(serial, grant)| (*serial, grant.holder)).collect();
-                    let row = Ceded { upstream, limit: allotment.limit, out };
-                    rows.entry(owner).or_default().push(row);
-                }
-                _ => {
-                    self.allotments.insert(upstream, allotment);
-                }
-            }
-        }
-        rows
-    }
-
-    /// Returns how long any call or grant may last.
-    fn longest_linger(&self) -> Span {
-        let times = self.catalog.services.values().map(|service| service.timeout);
-        GRANT_TERM + times.max().unwrap_or_default()
-    }
-
     /// Tells whether this member may act as the owner of an upstream.
     fn may_own(&self, now: Now, key: key::Upstream) -> bool {
         let upstream = &self.catalog.upstreams[key];
@@ -140,12 +55,12 @@
     }
 
     /// Returns how long a call may last at an upstream.
-    fn linger(&self, key: key::Upstream) -> Span {
+    pub(super) fn linger(&self, key: key::Upstream) -> Span {
         let upstream = &self.catalog.upstreams[key];
         self.catalog.services[upstream.service].timeout
     }
 
-    fn allotment(&mut self, key: key::Upstream) -> &mut Allotment {
+    pub(super) fn allotment(&mut self, key: key::Upstream) -> &mut Allotment {
         let upstream = &self.catalog.upstreams[key];
         let cold = self.catalog.services[upstream.service].cold;
         self.allotments.entry(upstream.ident).or_insert_with(|| Allotment::new(cold))
@@ -239,7 +154,7 @@
         self.is_cold(key)
             && !asked
             && !paused
-            && !self.out_domains.contains(&upstream.domain)
+            && !self.is_out(upstream.domain)
             && !self.tenure.is_owner(upstream.ident)
     }
 
@@ -260,52 +175,14 @@
         self.asks.paused.retain(|_, until| now.at < *until);
     }
 
-    /// Takes a message of a peer.
-    pub(super) fn peer(&mut self, now: Now, from: u64, message: Message, out: &mut Vec<Output>) {
-        // What belongs to a roster that is not known here yet waits for it.
-        if let Message::Cede { number, .. } | Message::Records { number, .. } = &message
-            && *number > self.tenure.number()
-        {
-            self.early.push((from, message));
-            self.early.truncate(MOST_EARLY);
-            return;
-        }
-        match message {
-            Message::Ask { upstream, serial } => self.asked(now, from, upstream, serial, out),
-            Message::Grant { upstream, serial } => self.granted(now, from, upstream, serial, out),
-            Message::Deny { serial, .. } => {
-                if let Some(ask) = self.asks.open.remove(&serial) {
-                    self.asks.paused.insert(ask.upstream, now.at + ASK_PAUSE);
-                }
-            }
-            Message::Settle { upstream, serial, result } => {
-                if let Some(key) = self.catalog.upstream_ident(upstream) {
-                    self.settled(now, key, serial, result, out);
-                }
-            }
-            Message::Cede { number, rows } => self.ceded(now, from, number, &rows, out),
-            Message::Claim { key, serial, number } => {
-                self.claimed(now, from, (key, serial, number), out);
-            }
-            Message::Claimed { key, serial, verdict } => {
-                self.claim_answered(now, from, key, serial, verdict, out);
-            }
-            Message::Settled { key, serial, state } => {
-                self.ledger.settle(now.at, Asked { key, by: from, serial }, state);
-            }
-            Message::Records { number, part } => {
-                if number == self.tenure.number() {
-                    self.ledger.take_over(now.at, from, &part);
-                }
-            }
-            Message::Evidence { plan, rows } => self.take_evidence(from, plan, &rows),
-            Message::Urgent(news) => self.hear(now, news, out),
-            Message::Recall { number } => self.recalled(from, number, out),
-            Message::Down { upstream } => self.told_down(now, upstream, out),
-        }
-    }
-
-    fn asked(&mut self, now: Now, from: u64, upstream: u64, serial: u64, out: &mut Vec<Output>) {
+    pub(super) fn asked(
+        &mut self,
+        now: Now,
+        from: u64,
+        upstream: u64,
+        serial: u64,
+        out: &mut Vec<Output>,
+    ) {
         let key = self.catalog.upstream_ident(upstream);
         let key = key.filter(|key| self.is_cold(*key) && self.may_own(now, *key));
         let granted = key.is_some_and(|key| {
@@ -321,8 +198,22 @@
         out.push(Output::message(from, message));
     }
 
+    /// Leaves the upstream of a refused ask alone for a while.
+    pub(super) fn denied(&mut self, now: Now, serial: u64) {
+        if let Some(ask) = self.asks.open.remove(&serial) {
+            self.asks.paused.insert(ask.upstream, now.at + ASK_PAUSE);
+        }
+    }
+
     /// Uses a grant for the next waiting call, or gives it back.
-    fn granted(&mut self, now: Now, from: u64, upstream: u64, serial: u64, out: &mut Vec<Output>) {
+    pub(super) fn granted(
+        &mut self,
+        now: Now,
+        from: u64,
+        upstream: u64,
+        serial: u64,
+        out: &mut Vec<Output>,
+    ) {
         let asked = self.asks.open.remove(&serial);
         // The term counts from the asking, which is before the owner's granting.
         let ask = asked.filter(|ask| now.at < ask.sent + GRANT_TERM);
@@ -399,7 +290,7 @@
         }
     }
 
-    fn settled(
+    pub(super) fn settled(
         &mut self,
         now: Now,
         key: key::Upstream,
@@ -418,22 +309,6 @@
         self.drain_queue(now, service, out);
     }
 
-    fn ceded(&mut self, now: Now, from: u64, number: u64, rows: &[Ceded], out: &mut Vec<Output>) {
-        if !self.tenure.cede(number, from) {
-            return;
-        }
-        for row in rows {
-            let Some(key) = self.catalog.upstream_ident(row.upstream) else { continue };
-            let linger = self.linger(key);
-            let allotment = self.allotment(key);
-            allotment.limit = allotment.limit.max(row.limit);
-            for (serial, holder) in &row.out {
-                allotment.inherit(now.at, *holder, *serial, linger);
-            }
-        }
-        self.drain_queues(now, out);
-    }
-
     /// Tells the owner that connections to its upstream fail.
     pub(super) fn report_down(&mut self, _now: Now, upstream: u64, out: &mut Vec<Output>) {
         let owner = self.tenure.roster().and_then(|roster| roster.owner(upstream));
@@ -460,7 +335,7 @@
     }
 
     /// Takes a peer's report of failed connects for true if this owner has met some itself.
-    fn told_down(&mut self, now: Now, ident: u64, out: &mut Vec<Output>) {
+    pub(super) fn told_down(&mut self, now: Now, ident: u64, out: &mut Vec<Output>) {
         let Some(key) = self.catalog.upstream_ident(ident) else { return };
         let Some(upstream) = self.upstreams.get(key) else { return };
         let down = upstream.state == State::Down || upstream.refusals > 0;
--- a/crates/policy/src/engine/dump.rs
+++ b/crates/policy/src/engine/dump.rs
@@ -91,7 +91,8 @@
     /// Returns the whole state for operators.
     #[must_use]
     pub fn dump(&self, now: Now) -> Dump {
-        let name = |key: &key::Domain| self.catalog.domains.get(*key).map(|one| one.name.clone());
+        let domains = self.catalog.domains.iter();
+        let out = domains.filter(|(key, _)| self.is_out(*key)).map(|(_, one)| one.name.clone());
         let waiting = self.queues.iter().filter_map(|(key, queue)| {
             let service = self.catalog.services.get(key)?;
             Some((service.name.clone(), queue.len()))
@@ -108,7 +109,7 @@
             moves: self.plans.keys().map(|key| self.dump_move(now, key)).collect(),
             harmful: self.suspects.harmful(now.at),
             keys: self.ledger.len(),
-            out: self.out_domains.iter().filter_map(name).collect(),
+            out: out.collect(),
             stats: self.stats,
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod gossip;
 pub mod harm;
+pub mod life;
 pub mod member;
 pub mod message;
 pub mod queue;
@@ -19,6 +20,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod upstream;
+pub mod withdrawal;
 
 pub use charts::Charts;
 pub use engine::{Engine, Input, Output};
