Ask quiet upstreams for their health, by their owner and within a budget

Cause: a drain signal was read from answers only, so an upstream that had no call kept its old standing until the first call met it, however long it had been leaving.

Change: the owner asks GET /health of an upstream that has told it nothing for 2 s, one question in 200 ms from an entry. Being owned by one member at a time bounds measuring over all entries.

--- a/crates/entry/src/admin/meter.rs
+++ b/crates/entry/src/admin/meter.rs
@@ -84,6 +84,7 @@
     counter!("nutmegwharf_grants_given_total").absolute(stats.granted);
     counter!("nutmegwharf_cold_starts_total").absolute(stats.cold_starts);
     counter!("nutmegwharf_harmful_total").absolute(stats.harmful);
+    counter!("nutmegwharf_probes_total").absolute(stats.probes);
     counter!("nutmegwharf_shifted_total").absolute(stats.shifted);
     counter!("nutmegwharf_hedged_total").absolute(stats.hedged);
     gauge!("nutmegwharf_key_records").set(state.engine.keys as f64);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod contact;
 pub mod front;
 pub mod header;
+pub mod health;
 pub mod keeper;
 pub mod logs;
 pub mod peers;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -122,7 +122,7 @@
         Peers::new(me, listen.peers, endpoint.clone(), known, steer.clone(), keeper.clone());
     tasks.spawn(xtra::run(mailbox, state));
     tasks.spawn(peers::accept(endpoint, peers.clone()));
-    let ways = Ways { peers: peers.clone(), contact };
+    let ways = Ways { peers: peers.clone(), contact, own: steer.clone() };
     // The decisions' task runs by now, so this cannot fail.
     let _ = steer.send(Connect(ways)).await;
     tasks.spawn(tick(steer.clone()));
--- a/crates/entry/src/steer.rs
+++ b/crates/entry/src/steer.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::contact::{Confirm, Contact, Order, Propose};
 use crate::front::post;
+use crate::health;
 use crate::idle::Idle;
 use crate::peers::{Deliver, Hail, Members, Peers};
 
@@ -52,6 +53,8 @@
     pub peers: Address<Peers>,
     /// To the store.
     pub contact: Address<Contact<store::Http>>,
+    /// Back to this task.
+    pub own: Address<Steer>,
 }
 
 /// The state of the task for operators.
@@ -184,6 +187,7 @@
                 self.reply(token, Directive::Refuse { refusal, outcome, retry_after });
             }
             Output::Continue { token } => self.reply(token, Directive::Continue),
+            Output::Probe { upstream } => self.probe(upstream),
             Output::Retire { upstream } => self.idle.retire(upstream, now.at),
             Output::Pass { token } => self.reply(token, Directive::Pass),
             Output::Send { to, frame } => self.peers(|peers| post(peers, Deliver { to, frame })),
@@ -196,6 +200,14 @@
         }
     }
 
+    /// Starts a task that asks an upstream for its health.
+    fn probe(&self, upstream: key::Upstream) {
+        let known = self.engine.catalog().upstreams.get(upstream);
+        if let (Some(ways), Some(known)) = (&self.ways, known) {
+            tokio::spawn(health::ask(ways.own.clone(), upstream, known.address));
+        }
+    }
+
     fn peers(&self, tell: impl FnOnce(&Address<Peers>)) {
         if let Some(ways) = &self.ways {
             tell(&ways.peers);
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod dump;
 mod fleet;
+mod health;
 mod keyed;
 mod members;
 mod moves;
@@ -20,6 +21,7 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 pub use dump::Dump;
+pub use health::PROBE_AFTER;
 pub use keyed::Claim;
 
 use crate::attempt::{self, Attempt};
@@ -77,6 +79,15 @@
     },
     /// The platform says that what serves at these addresses leaves.
     Leaving(Vec<SocketAddr>),
+    /// A question for the health of an upstream has ended.
+    Probed {
+        /// The upstream.
+        upstream: key::Upstream,
+        /// Whether a connection could be opened.
+        reached: bool,
+        /// What the upstream said of itself.
+        report: Option<Report>,
+    },
     /// Time has passed.
     Tick,
     /// The entry tells its peers that it leaves.
@@ -120,6 +131,11 @@
         /// The front's mark.
         token: u64,
     },
+    /// An upstream is to be asked for its health.
+    Probe {
+        /// The upstream.
+        upstream: key::Upstream,
+    },
     /// Idle connections to an upstream may be silent.
     Retire {
         /// The upstream.
@@ -190,6 +206,8 @@
     pub cold_starts: u64,
     /// Requests refused because they break upstreams.
     pub harmful: u64,
+    /// Questions for the health of upstreams.
+    pub probes: u64,
     /// Requests sent to the new version of a move.
     pub shifted: u64,
     /// Attempts given up because no answer began in time, in favour of another.
@@ -214,6 +232,7 @@
     asks: cold::Asks,
     ledger: Ledger,
     suspects: Suspects,
+    probe_at: Moment,
     plans: SecondaryMap<key::Move, moves::Plan>,
     claims: BTreeMap<u64, key::Call>,
     early: Vec<(u64, Message)>,
@@ -246,6 +265,7 @@
             asks: cold::Asks::default(),
             ledger: Ledger::default(),
             suspects: Suspects::default(),
+            probe_at: Moment::default(),
             plans: SecondaryMap::new(),
             claims: BTreeMap::new(),
             early: Vec::new(),
@@ -276,6 +296,9 @@
             Input::Roster { asked_at, roster } => self.adopt_roster(now, asked_at, &roster, out),
             Input::Peer { from, frame } => self.frame(now, from, frame, out),
             Input::Leaving(addresses) => self.drain_listed(now, &addresses, out),
+            Input::Probed { upstream, reached, report } => {
+                self.probed(now, upstream, reached, report, out);
+            }
             Input::Tick => self.tick(now, out),
             Input::Leave => self.fleet.leaving = true,
             Input::Stop => self.stop(now, out),
@@ -389,6 +412,7 @@
         self.retry_claims(now, out);
         self.tick_fleet(now, out);
         self.tick_moves(now, out);
+        self.probe_upstreams(now, out);
         self.drain_queues(now, out);
     }
 
--- a/crates/policy/src/engine/cold.rs
+++ b/crates/policy/src/engine/cold.rs
@@ -49,7 +49,7 @@
 
 impl<C: Chooser> Engine<C> {
     /// Tells whether this member may act as the owner of an upstream.
-    fn may_own(&self, now: Now, key: key::Upstream) -> bool {
+    pub(super) fn may_own(&self, now: Now, key: key::Upstream) -> bool {
         let upstream = &self.catalog.upstreams[key];
         self.tenure.holds(now.at, upstream.ident, GRANT_TERM + self.linger(key))
     }
--- a/crates/policy/src/engine/outcome.rs
+++ b/crates/policy/src/engine/outcome.rs
@@ -265,7 +265,7 @@
         self.upstream_event(now, attempt.upstream, upstream::Event::Answered, out);
     }
 
-    fn blame_connect(&mut self, now: Now, key: key::Upstream, out: &mut Vec<Output>) {
+    pub(super) fn blame_connect(&mut self, now: Now, key: key::Upstream, out: &mut Vec<Output>) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.refusals += 1;
         if upstream.refusals >= UNREACHABLE_RUN {
@@ -282,7 +282,13 @@
         }
     }
 
-    fn take_report(&mut self, now: Now, key: key::Upstream, report: Report, out: &mut Vec<Output>) {
+    pub(super) fn take_report(
+        &mut self,
+        now: Now,
+        key: key::Upstream,
+        report: Report,
+        out: &mut Vec<Output>,
+    ) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.gauge.report(now.at, report);
         if report.draining {
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -95,6 +95,8 @@
         pub rest: Span,
         /// End of the pause.
         pub rested_at: Moment,
+        /// When its health was last asked for.
+        pub probed_at: Moment,
         /// Until when the upstream asked for less.
         pub shed_until: Moment,
     }
@@ -110,6 +112,7 @@
             refusals: 0,
             rest: FIRST_REST,
             rested_at: Moment::default(),
+            probed_at: Moment::default(),
             shed_until: Moment::default(),
         }
     }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -56,6 +56,8 @@
     pub in_flight: u32,
     /// Most calls in progress at a time.
     pub peak: u32,
+    /// Questions for its health.
+    pub probes: u64,
     /// Calls that were sent to it.
     pub sent: u64,
     /// When the last call was sent to it.
@@ -71,6 +73,7 @@
             answer: Answer::Good,
             in_flight: 0,
             peak: 0,
+            probes: 0,
             sent: 0,
             last_sent: Moment::default(),
         }
@@ -85,6 +88,7 @@
     Attempt { entry: usize, attempt: key::Attempt, event: Event, report: Option<Report> },
     Leave { upstream: String, entry: usize, attempt: key::Attempt, call: u64 },
     Config { entry: usize },
+    Probed { entry: usize, upstream: key::Upstream, reached: bool, report: Option<Report> },
     Roster { entry: usize, asked_at: Moment, roster: Roster },
     Write { entry: usize, roster: Roster },
 }
@@ -393,6 +397,16 @@
                     self.push(self.now + DELAY, Later::Config { entry });
                 }
             }
+            Output::Probe { upstream } => {
+                let engine = self.entries[entry].as_ref().expect("a live entry");
+                let name = engine.catalog().upstreams[upstream].name.clone();
+                let fake = self.upstreams.get_mut(&name).expect("an upstream");
+                fake.probes += 1;
+                let reached = fake.answer != Answer::Refuses;
+                let (in_flight, cold, draining) = (fake.in_flight, fake.cold, fake.draining);
+                let report = reached.then_some(Report { in_flight, cold, draining });
+                self.push(self.now + DELAY, Later::Probed { entry, upstream, reached, report });
+            }
             Output::Confirm => {
                 self.store_calls += 1;
                 if !self.storeless.contains(&entry) {
@@ -469,6 +483,9 @@
                 self.leave(&upstream, entry, attempt, call);
             }
             Later::Config { entry } => self.refresh(entry),
+            Later::Probed { entry, upstream, reached, report } => {
+                self.input(entry, Input::Probed { upstream, reached, report });
+            }
             Later::Roster { entry, asked_at, roster } => {
                 self.input(entry, Input::Roster { asked_at, roster });
             }
--- a/crates/rig/src/upstream.rs
+++ b/crates/rig/src/upstream.rs
@@ -18,6 +18,9 @@
 /// Header that a caller sets to count executions of one request.
 pub const MARK: &str = "rig-mark";
 
+/// Path of questions for health.
+const HEALTH: &str = "/health";
+
 /// How an upstream behaves.
 #[derive(Clone, Debug)]
 pub struct Behaviour {
@@ -115,6 +118,9 @@
 /// Asks what the upstream has seen.
 struct Look;
 
+/// Asks for the report, apart from any call.
+struct Ask;
+
 /// Makes the upstream cold again.
 struct Chill;
 
@@ -270,6 +276,14 @@
     }
 }
 
+impl Handler<Ask> for Worker {
+    type Return = Report;
+
+    async fn handle(&mut self, _: Ask, _: &mut Context<Self>) -> Report {
+        self.report()
+    }
+}
+
 impl Handler<Mute> for Worker {
     type Return = ();
 
@@ -287,6 +301,9 @@
 }
 
 async fn answer(worker: Address<Worker>, request: Request<Incoming>) -> Reply {
+    if request.uri().path() == HEALTH {
+        return health(&worker).await;
+    }
     let mark = request.headers().get(MARK).and_then(|mark| mark.to_str().ok()).map(str::to_owned);
     let attempt = request.headers().get(header::ATTEMPT).cloned();
     let (head, body) = request.into_parts();
@@ -333,6 +350,13 @@
     Some(response)
 }
 
+async fn health(worker: &Address<Worker>) -> Reply {
+    let report = worker.send(Ask).await.ok()?;
+    let mut response = Response::new(Page::default());
+    response.headers_mut().insert(header::LOAD, header::report_value(report));
+    Some(response)
+}
+
 fn refusal(report: Report) -> Reply {
     let mut response = Response::new(Page::default());
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
