Look for cold upstreams before anything else on the way of a call

Cause: each call copied its version's list of upstreams and looked at the room of all of them before it knew whether any was cold.

Change: the owner's cold upstreams are looked for first; without one nothing is copied. Paths that climbed out of modules are imports now.

--- a/crates/policy/src/engine/calls.rs
+++ b/crates/policy/src/engine/calls.rs
@@ -7,7 +7,7 @@
 use crate::attempt::{self, Attempt};
 use crate::balance::{Candidate, Chooser};
 use crate::call::{Call, Outcome, Refusal, Request, Reuse};
-use crate::queue::{Push, Ticket};
+use crate::queue::{Push, Queue, Ticket};
 use crate::upstream::State;
 
 /// Calls at a warm upstream, in slots, above which no more are sent there.
@@ -265,9 +265,7 @@
 
     /// Lets waiting calls of one service go.
     pub(super) fn drain_queue(&mut self, now: Now, service: key::Service, out: &mut Vec<Output>) {
-        while let Some(ticket) =
-            self.queues.get_mut(service).and_then(super::super::queue::Queue::pop)
-        {
+        while let Some(ticket) = self.queues.get_mut(service).and_then(Queue::pop) {
             if !self.calls.contains_key(ticket.call) {
                 continue;
             }
--- a/crates/policy/src/engine/cold.rs
+++ b/crates/policy/src/engine/cold.rs
@@ -10,6 +10,7 @@
 use crate::Now;
 use crate::balance::Chooser;
 use crate::message::{Message, News};
+use crate::queue::Queue;
 use crate::quota::{self, Allotment, GRANT_TERM};
 use crate::upstream::{Event, State};
 
@@ -85,15 +86,18 @@
         call: key::Call,
         version: key::Version,
     ) -> Option<key::Upstream> {
-        let upstreams = self.catalog.versions.get(version)?.upstreams.clone();
+        let upstreams = &self.catalog.versions.get(version)?.upstreams;
+        let fits = |key: &key::Upstream| {
+            self.is_cold(*key) && self.may_own(now, *key) && self.may_go(now, call, *key)
+        };
+        let owned: Vec<key::Upstream> = upstreams.iter().copied().filter(fits).collect();
+        if owned.is_empty() {
+            return None;
+        }
         let room = upstreams.iter().any(|key| self.may_take(now, call, *key));
         if room && !self.rng.random_bool(EXPLORE) {
             return None;
         }
-        let fits = |key: &key::Upstream| {
-            self.is_cold(*key) && self.may_own(now, *key) && self.may_go(now, call, *key)
-        };
-        let owned: Vec<key::Upstream> = upstreams.into_iter().filter(fits).collect();
         let free: Vec<key::Upstream> =
             owned.into_iter().filter(|key| self.allotment(*key).is_free(now.at)).collect();
         free.choose(&mut self.rng).copied()
@@ -120,7 +124,7 @@
 
     /// Asks owners of cold upstreams for calls, as many as wait.
     pub(super) fn ask_owners(&mut self, now: Now, service: key::Service, out: &mut Vec<Output>) {
-        let waiting = self.queues.get(service).map_or(0, super::super::queue::Queue::len);
+        let waiting = self.queues.get(service).map_or(0, Queue::len);
         let serving = self.catalog.services.get(service).and_then(|known| known.serving);
         if let Some(version) = serving {
             self.ask_for(now, version, waiting, out);
--- a/crates/policy/src/engine/fleet.rs
+++ b/crates/policy/src/engine/fleet.rs
@@ -254,9 +254,8 @@
     /// Returns how many living members propose before this one.
     fn turn(&self, roster: &Roster) -> usize {
         let me = self.tenure.me();
-        let lives = |ident: &u64| {
-            self.gossip.members().get(ident).is_some_and(super::super::member::Member::is_usable)
-        };
+        let lives =
+            |ident: &u64| self.gossip.members().get(ident).is_some_and(member::Member::is_usable);
         roster.ranked(roster.number).take_while(|ident| *ident != me).filter(lives).count()
     }
 
