--- a/crates/rig/src/local.rs
+++ b/crates/rig/src/local.rs
@@ -29,8 +29,8 @@
     pub domains: usize,
     /// How each upstream behaves.
     pub behaviour: Behaviour,
-    /// Time for which callers keep an answer of which entries to use.
-    pub resolve_time: Duration,
+    /// Bounds of each entry.
+    pub limits: Limits,
     /// First port, or zero for ports that the system chooses.
     pub port: u16,
 }
@@ -91,7 +91,7 @@
             next_upstreams: 4,
             domains: 4,
             behaviour: Behaviour { cold_calls: 20, ..Behaviour::default() },
-            resolve_time: Duration::from_millis(500),
+            limits: Limits { resolve_time: Duration::from_millis(500), ..Limits::default() },
             port: 0,
         }
     }
@@ -182,7 +182,7 @@
             key: Source::Inline(material.key),
         }),
         operators: vec![Operator { name: "local".into(), token: TOKEN.into(), commands: true }],
-        limits: Limits { resolve_time: plan.resolve_time, ..Limits::default() },
+        limits: plan.limits,
         log: log::LevelFilter::Info,
     }
 }
