Keep one wait for the mailbox, so that no message is lost

Cause: under load from other processes a move stood still past its deadline and two entries held different rosters. The tick of one had ended: the decisions' task dropped its wait for the mailbox whenever the request path had a message, and a message that arrives while a wait is dropped can be lost. Its sender sees an error, and the tick's task took that for the end.

Ruled out: two rosters with one number in the store (conditional writes exclude it; the other entry had simply stopped asking).

Change: one wait is kept until it ends, and the tick goes on unless the task is gone.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -257,7 +257,7 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        if steer.send(Tick).await.is_err() {
+        if let Err(xtra::Error::Disconnected) = steer.send(Tick).await {
             return;
         }
     }
--- a/crates/entry/src/steer.rs
+++ b/crates/entry/src/steer.rs
@@ -72,13 +72,17 @@
     mailbox: Mailbox<Steer>,
     mut lane: mpsc::UnboundedReceiver<Message>,
 ) {
+    // Dropping a wait for the mailbox can lose the message that arrives meanwhile, so one wait is
+    // kept until it ends.
+    let mut next = mailbox.next();
     loop {
         tokio::select! {
             message = lane.recv() => match message {
                 Some(message) => steer.handle_message(message),
                 None => return,
             },
-            message = mailbox.next() => {
+            message = &mut next => {
+                next = mailbox.next();
                 if let ControlFlow::Break(()) = message.dispatch_to(&mut steer).await {
                     return;
                 }
--- a/crates/rig/tests/operate.rs
+++ b/crates/rig/tests/operate.rs
@@ -94,8 +94,13 @@
         }
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
-    let (_, moves) = say(local, 0, TOKEN, "show moves").await;
-    panic!("the move never was {phase}: {moves}");
+    let mut accounts = Vec::new();
+    for entry in 0..local.entries.len() {
+        for query in ["show moves", "why move seal-11", "show entries"] {
+            accounts.push(say(local, entry, TOKEN, query).await.1);
+        }
+    }
+    panic!("the move never was {phase}: {accounts:#?}");
 }
 
 /// Waits until an entry shows a change that another one has accepted.
