--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -15,6 +15,12 @@
 }
 
 impl Moment {
+    /// Returns the moment in whole milliseconds since the origin.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
     /// Returns the time since `earlier`, or zero if `earlier` is later.
     #[must_use]
     pub fn since(self, earlier: Self) -> Span {
--- a/crates/policy/src/engine/fleet.rs
+++ b/crates/policy/src/engine/fleet.rs
@@ -101,6 +101,7 @@
         }
         if let Some(member) = self.gossip.member_mut(from) {
             member.config = member.config.max(digest.config);
+            member.calls = digest.calls;
             if digest.leaving {
                 let event = member::Event::Leaving;
                 member.state = self.charts.member.step(member.state, event).next;
@@ -129,6 +130,7 @@
         Digest {
             sent_at,
             config: self.catalog.number,
+            calls: u32::try_from(self.calls.len()).unwrap_or(u32::MAX),
             roster: self.tenure.number(),
             roster_age: now.at.since(self.tenure.confirmed_at()),
             newer: None,
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -52,6 +52,8 @@
         pub heard_at: Moment,
         /// When it last answered this member itself.
         pub answered_at: Moment,
+        /// Calls that it has said to have in progress.
+        pub calls: u32,
         /// Configuration that it has said to have in force.
         pub config: u64,
     }
@@ -66,6 +68,7 @@
             beat: 0,
             heard_at: now,
             answered_at: Moment::default(),
+            calls: 0,
             config: 0,
         }
     }
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -28,6 +28,8 @@
         pub sent_at: Moment,
         /// Number of the configuration in force.
         pub config: u64,
+        /// Calls in progress at the sender.
+        pub calls: u32,
         /// Number of the newest roster known.
         pub roster: u64,
         /// Time since that roster was last known to be current.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -180,7 +180,8 @@
         let ident = policy::roster::ident(&format!("entry-{number}"), 0);
         let charts = Charts::load().expect("charts fit");
         let mut engine = Engine::new(charts, ident, "d1", ident, Least);
-        let address = ([127, 0, 0, 1], 1).into();
+        let port = u16::try_from(number + 1).expect("few entries");
+        let address = ([127, 0, 0, 1], port).into();
         engine.join(Member {
             ident,
             name: format!("entry-{number}"),
@@ -585,6 +586,7 @@
     Frame::Reply(policy::message::Digest {
         sent_at: Moment::default(),
         config: 0,
+        calls: 0,
         roster: 0,
         roster_age: Span::ZERO,
         newer: None,
