--- a/crates/policy/src/engine/health.rs
+++ b/crates/policy/src/engine/health.rs
@@ -20,8 +20,9 @@
         if now.at < self.probe_at {
             return;
         }
-        let Some(key) = self.quietest(now) else { return };
+        // Who owns an upstream takes a hash for each member, so nothing is looked for in between.
         self.probe_at = now.at + PROBE_GAP;
+        let Some(key) = self.quietest(now) else { return };
         self.upstreams[key].probed_at = now.at;
         self.stats.probes += 1;
         out.push(Output::Probe { upstream: key });
