--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -212,10 +212,6 @@
         let micros = slopes::decision(upstreams, 20_000)?;
         println!("decisions for a call, {upstreams} upstreams in its service: {micros:.2} us");
     }
-    for upstreams in [10, 160, 620] {
-        let bytes = slopes::memory(64, upstreams)?;
-        println!("memory of one engine, {upstreams} upstreams: {} KB", bytes / 1_024);
-    }
     Ok(())
 }
 
--- a/crates/rig/src/slopes.rs
+++ b/crates/rig/src/slopes.rs
@@ -1,7 +1,7 @@
 //! What control costs a node, measured over several sizes.
 //!
 //! Engines exchange frames in virtual time with no delay; frames are encoded to count bytes. The
-//! counts are the same in every run; processor time and memory are those of this machine.
+//! counts are the same in every run; processor time is that of this machine.
 
 use std::time::Instant;
 
@@ -210,28 +210,6 @@
     Ok(start.elapsed().as_secs_f64() * 1e6 / f64::from(calls))
 }
 
-/// Returns the memory that one engine takes with so many entries and upstreams, in bytes.
-///
-/// # Errors
-///
-/// Returns an error if a chart does not fit.
-pub fn memory(entries: usize, upstreams: usize) -> Result<u64, policy::charts::Fault> {
-    let config = config(upstreams);
-    let before = resident();
-    let mesh = Mesh::new(entries, &config)?;
-    let after = resident();
-    let each = after.saturating_sub(before) / entries as u64;
-    drop(mesh);
-    Ok(each)
-}
-
-/// Returns the memory of this process in bytes.
-fn resident() -> u64 {
-    let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = pages.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
-    pages.unwrap_or(0) * 4_096
-}
-
 /// Makes a configuration with so many upstreams over 18 services and 7 failure domains.
 #[must_use]
 pub fn config(upstreams: usize) -> Config {
