--- a/crates/rig/src/upstream.rs
+++ b/crates/rig/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use entry::header;
 use http_body_util::BodyExt;
@@ -42,6 +42,8 @@
     pub draining: bool,
     /// Whether answers carry the load.
     pub reports: bool,
+    /// Time for which the same report is told, whatever happens meanwhile.
+    pub lag: Duration,
 }
 
 /// What a call meets.
@@ -88,6 +90,7 @@
     served: u32,
     newest: u64,
     muted: u64,
+    told: Option<(Instant, Report)>,
     seen: Seen,
 }
 
@@ -143,6 +146,7 @@
             fault: Fault::None,
             draining: false,
             reports: true,
+            lag: Duration::ZERO,
         }
     }
 }
@@ -161,6 +165,7 @@
             served: 0,
             newest: 0,
             muted: 0,
+            told: None,
             seen: Seen::default(),
         };
         let worker = xtra::spawn_tokio(worker, Mailbox::unbounded());
@@ -200,12 +205,18 @@
         self.served < self.behaviour.cold_calls
     }
 
-    fn report(&self) -> Report {
-        Report {
+    fn report(&mut self) -> Report {
+        let fresh = |(at, _): &(Instant, Report)| at.elapsed() < self.behaviour.lag;
+        if let Some((_, report)) = self.told.filter(fresh) {
+            return report;
+        }
+        let report = Report {
             in_flight: self.in_flight(),
             cold: self.is_cold(),
             draining: self.behaviour.draining,
-        }
+        };
+        self.told = Some((Instant::now(), report));
+        report
     }
 }
 
--- a/crates/rig/tests/path.rs
+++ b/crates/rig/tests/path.rs
@@ -272,3 +272,20 @@
     tokio::time::sleep(Duration::from_millis(600)).await;
     assert_eq!(burst(Method::POST).await, 8);
 }
+
+#[tokio::test]
+async fn report_lags_behind_the_upstream() {
+    let lag = Duration::from_secs(600);
+    let behaviour = Behaviour { lag, ..Behaviour::default() };
+    let address = ([127, 0, 0, 1], 0).into();
+    let upstream = rig::upstream::Upstream::start(address, behaviour).await.expect("starts");
+    let load = || async {
+        let answer = caller::call(upstream.address, Method::GET, "/health", &[], "").await;
+        answer.expect("an answer").headers()["nutmegwharf-load"].clone()
+    };
+    let before = load().await;
+    upstream.change(|one| one.draining = true).await;
+    assert_eq!(load().await, before);
+    upstream.change(|one| one.lag = Duration::ZERO).await;
+    assert_ne!(load().await, before);
+}
