--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,9 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use peer::{Envelope, Incoming, Keys, Outgoing, encode};
+use peer::{Envelope, Hello, Keys, encode, mesh};
 use policy::engine::Input;
 use policy::message::Frame;
 use policy::roster::Roster;
@@ -13,7 +12,6 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use tokio::time::timeout;
 use xtra::prelude::*;
 
 use crate::keeper::{Encoded, Keeper, Seen};
@@ -21,13 +19,6 @@
 
 /// Frames that wait for one peer; more are dropped, as gossip repeats itself.
 const MOST_WAITING: usize = 256;
-/// Time to open a connection.
-const OPEN_TIME: Duration = Duration::from_secs(2);
-/// Pause after a connection that could not be opened.
-const OPEN_PAUSE: Duration = Duration::from_millis(300);
-/// Connections that peers may have open.
-const MOST_INCOMING: usize = 1_024;
-
 /// The task's state.
 #[derive(xtra::Actor)]
 pub struct Peers {
@@ -144,7 +135,7 @@
         let tasks = &mut self.tasks;
         self.links.entry(address).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(MOST_WAITING);
-            tasks.spawn(write(endpoint, address, me, own, receiver));
+            tasks.spawn(mesh::write(endpoint, address, me, own, receiver));
             sender
         })
     }
@@ -228,83 +219,14 @@
     }
 }
 
-/// Writes frames to one peer, opening a connection whenever there is none.
-async fn write(
-    endpoint: Endpoint,
-    address: SocketAddr,
-    me: u64,
-    own: SocketAddr,
-    mut frames: mpsc::Receiver<Vec<u8>>,
-) {
-    let mut link: Option<Outgoing> = None;
-    while let Some(frame) = frames.recv().await {
-        let mut open = match link.take() {
-            Some(open) => open,
-            None => match timeout(OPEN_TIME, Outgoing::open(&endpoint, address, me, own)).await {
-                Ok(Ok(open)) => open,
-                Ok(Err(error)) => {
-                    log::debug!("event=peer_unreachable peer={address} error=\"{error}\"");
-                    tokio::time::sleep(OPEN_PAUSE).await;
-                    drain(&mut frames);
-                    continue;
-                }
-                Err(_) => {
-                    log::debug!("event=peer_silent peer={address}");
-                    drain(&mut frames);
-                    continue;
-                }
-            },
-        };
-        match timeout(OPEN_TIME, open.send(&frame)).await {
-            Ok(Ok(())) => link = Some(open),
-            Ok(Err(error)) => log::debug!("event=peer_lost peer={address} error=\"{error}\""),
-            Err(_) => log::debug!("event=peer_blocked peer={address}"),
-        }
-    }
-}
-
-/// Drops frames that were meant for a moment that has passed.
-fn drain(frames: &mut mpsc::Receiver<Vec<u8>>) {
-    while frames.try_recv().is_ok() {}
-}
-
 /// Accepts connections of peers and passes on their frames.
 pub async fn accept(endpoint: Endpoint, peers: Address<Peers>) {
-    let mut readers = JoinSet::new();
-    loop {
-        tokio::select! {
-            Some(_) = readers.join_next() => {}
-            incoming = endpoint.accept(), if readers.len() < MOST_INCOMING => {
-                let Some(incoming) = incoming else { return };
-                readers.spawn(read(incoming, peers.clone()));
-            }
-        }
-    }
-}
-
-async fn read(incoming: quinn::Incoming, peers: Address<Peers>) {
-    let mut incoming = match timeout(OPEN_TIME, Incoming::accept(incoming)).await {
-        Ok(Ok(incoming)) => incoming,
-        Ok(Err(error)) => {
-            log::warn!("event=peer_refused error=\"{error}\"");
-            return;
+    let sink = move |hello: Hello, frame, size| {
+        let peers = peers.clone();
+        async move {
+            let arrived = Arrived { from: hello.ident, address: hello.address, frame, size };
+            peers.send(arrived).await.is_ok()
         }
-        Err(_) => return,
     };
-    let hello = incoming.hello;
-    loop {
-        match incoming.receive().await {
-            Ok((Envelope::Frame(frame), size)) => {
-                let arrived = Arrived { from: hello.ident, address: hello.address, frame, size };
-                if peers.send(arrived).await.is_err() {
-                    return;
-                }
-            }
-            Ok((Envelope::Hello(_), _)) => {}
-            Err(error) => {
-                log::debug!("event=peer_ended peer={} error=\"{error}\"", hello.address);
-                return;
-            }
-        }
-    }
+    mesh::accept(endpoint, sink).await;
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,8 +7,7 @@
 
 use log::LevelFilter;
 
-use reader::Reader;
-pub use reader::{Cause, Fault, Faults};
+pub use reader::{Cause, Fault, Faults, Reader};
 
 /// The settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/entry/src/settings/reader.rs
+++ b/crates/entry/src/settings/reader.rs
@@ -75,6 +75,9 @@
     /// A whole number.
     #[display("a whole number")]
     Count,
+    /// A number.
+    #[display("a number that is not negative")]
+    Number,
     /// A level of logs.
     #[display("one of off, error, warn, info, debug, trace")]
     Level,
@@ -91,7 +94,7 @@
 
 /// A settings file that is being read.
 #[derive(Debug)]
-pub(super) struct Reader {
+pub struct Reader {
     root: Map<String, Value>,
     used: BTreeSet<String>,
     faults: Vec<Fault>,
@@ -99,6 +102,10 @@
 
 impl Reader {
     /// Parses the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is not an object of JSON with comments.
     pub fn new(text: &str) -> Result<Self, Faults> {
         let fault = |cause| Faults(vec![Fault { place: "file".into(), cause }]);
         let parsed: Result<Value, _> =
@@ -149,6 +156,12 @@
         count
     }
 
+    /// Reads a number that is not negative, with or without a fraction.
+    pub fn number(&mut self, place: &str, default: f64) -> f64 {
+        let read = |value: &Value| value.as_f64().filter(|number| *number >= 0.0);
+        self.optional(place, Shape::Number, read).unwrap_or(default)
+    }
+
     /// Reads a level of logs.
     pub fn level(&mut self, place: &str, default: LevelFilter) -> LevelFilter {
         let read = |value: &Value| value.as_str()?.parse().ok();
@@ -172,7 +185,11 @@
         self.optional(place, Shape::Operators, read).unwrap_or_default()
     }
 
-    /// Returns the settings, or every fault if there are any.
+    /// Returns the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault if there are any.
     pub fn finish<T>(mut self, settings: T) -> Result<T, Faults> {
         let mut unknown = Vec::new();
         unused(&self.root, "", &self.used, &mut unknown);
--- /dev/null
+++ b/crates/gateway/src/engine/advise.rs
@@ -0,0 +1,47 @@
+//! Which nodes callers should use.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use super::Engine;
+
+/// Nodes of the caller's failure domain from which on no others are named.
+const ENOUGH: usize = 2;
+/// Nodes named at the most.
+const MOST: usize = 64;
+/// Time for which an answer may be kept: a node that leaves serves that long.
+const KEPT: Span = Span::seconds(2);
+
+record! {
+    /// Nodes that a caller may use.
+    pub struct Advice {
+        /// Where they take connections of callers.
+        pub addresses: Vec<SocketAddr>,
+        /// Time for which to keep the answer.
+        pub time: Span,
+    }
+}
+
+impl Engine {
+    /// Returns the nodes that a caller in a failure domain should use.
+    #[must_use]
+    pub fn advise(&self, now: Moment, domain: Option<&str>) -> Advice {
+        let own = &self.members.own;
+        let mut all: Vec<(&str, SocketAddr)> = self
+            .members
+            .live(now)
+            .filter(|(_, peer)| peer.ready)
+            .map(|(_, peer)| (peer.member.domain.as_str(), peer.member.caller))
+            .collect();
+        if !self.leaving && (self.is_ready() || all.is_empty()) {
+            all.push((own.domain.as_str(), own.caller));
+        }
+        let is_near = |one: &&(&str, SocketAddr)| Some(one.0) == domain;
+        let near: Vec<SocketAddr> = all.iter().filter(is_near).map(|one| one.1).collect();
+        let mut addresses =
+            if near.len() >= ENOUGH { near } else { all.iter().map(|one| one.1).collect() };
+        addresses.truncate(MOST);
+        Advice { addresses, time: KEPT.min(self.terms.advice_time) }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/choose.rs
@@ -0,0 +1,319 @@
+//! Choosing an upstream for a call, after asking the likely ones how they are.
+
+use base::prelude::*;
+use rand::RngExt;
+
+use super::{Engine, Output, Refusal};
+use crate::cold;
+use crate::exchange::Exchange;
+use crate::upstream::State;
+
+/// Age from which on a report is renewed before it decides.
+const FRESH: Span = Span::millis(120);
+/// Upstreams asked for their health at a time for one call.
+const ASKED: usize = 3;
+/// Rounds of such questions for one call.
+const ROUNDS: u32 = 2;
+/// Time to wait for their answers.
+const PROBE_WAIT: Span = Span::millis(15);
+/// Time to wait when no upstream may be used without an answer.
+const PROBE_WAIT_MOST: Span = Span::millis(60);
+/// Part of a route's target that another failure domain costs: its bytes, and some time.
+const AWAY_COST: f64 = 0.15;
+/// Requests at an upstream, in slots, above which the most urgent routes use it no more.
+const CROWD: f64 = 2.0;
+/// The same for the other routes, so that the urgent ones find room when it is short.
+const CROWD_LESS_URGENT: f64 = 1.75;
+/// Rank from which on routes count as less urgent.
+const LESS_URGENT: u32 = 2;
+/// Share of calls that go to a cold upstream of the own domain that may have one.
+const TRY_COLD: f64 = 0.5;
+
+record! {
+    /// What decided where a request went.
+    #[derive(Copy)]
+    pub struct Why {
+        /// Expected time of the request, in microseconds.
+        pub cost: f64,
+        /// Age of the report that it is based on.
+        pub age: Span,
+        /// Pace that the upstream told.
+        pub pace: f64,
+        /// Upstreams that could have been chosen.
+        pub options: usize,
+        /// Version of the table in force.
+        pub table: u64,
+        /// Whether the upstream runs the target version of a trial.
+        pub trial: bool,
+        /// Whether the upstream was in a cold start.
+        pub cold: bool,
+    }
+}
+
+/// An upstream that may be chosen.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    upstream: key::Upstream,
+    /// Expected time, in microseconds; that of a good upstream if its report is old.
+    cost: f64,
+    /// Whether its report is old.
+    old: bool,
+    /// Whether it has to answer before it may be used.
+    unproven: bool,
+    /// Whether it is in a cold start.
+    cold: bool,
+}
+
+impl Engine {
+    /// Sends a call to an upstream, asks upstreams for their health first, or refuses the call.
+    pub(super) fn place(&mut self, now: Moment, key: key::Call, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get(key) else { return };
+        if now >= call.deadline {
+            return self.refuse_if_alone(key, Refusal::LateUnsent, out);
+        }
+        let mut candidates = self.candidates(now, key);
+        if candidates.is_empty() && self.calls[key].trial {
+            // The target version has no room; the old one serves instead.
+            let service = self.calls[key].service;
+            self.calls[key].trial = false;
+            self.restore_trial(service);
+            candidates = self.candidates(now, key);
+        }
+        candidates.sort_by(|one, other| one.cost.total_cmp(&other.cost));
+        if self.ask(now, key, &candidates, out) {
+            return;
+        }
+        match candidates.iter().find(|one| !one.unproven) {
+            Some(best) => self.send(now, key, *best, candidates.len(), out),
+            None => self.refuse_if_alone(key, self.lack(key), out),
+        }
+    }
+
+    /// Refuses a call unless another exchange of it is in progress.
+    fn refuse_if_alone(&mut self, key: key::Call, refusal: Refusal, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get(key) else { return };
+        match call.live {
+            0 => self.refuse(key, refusal, out),
+            _ => out.push(Output::Await { token: call.token }),
+        }
+    }
+
+    /// Sends a call to a second upstream while the first has not answered.
+    pub(super) fn hedge(&mut self, now: Moment, key: key::Call, out: &mut Vec<Output>) -> bool {
+        let call = &self.calls[key];
+        if call.runs >= self.attempts(key) {
+            return false;
+        }
+        let left = call.deadline.since(now).0 as f64;
+        let candidates = self.candidates(now, key);
+        let usable = candidates.iter().filter(|one| !one.unproven && !one.cold);
+        let best = usable.min_by(|one, other| one.cost.total_cmp(&other.cost)).copied();
+        let Some(best) = best.filter(|best| best.cost < left) else { return false };
+        if !self.spend(now, key) {
+            return false;
+        }
+        self.stats.hedged += 1;
+        self.calls[key].repeats += 1;
+        self.send(now, key, best, candidates.len(), out);
+        true
+    }
+
+    pub(super) fn attempts(&self, key: key::Call) -> u32 {
+        let route = self.calls.get(key).and_then(|call| self.routes.arena.get(call.route));
+        route.map_or(1, |route| route.attempts)
+    }
+
+    /// Spends one retry of a call's service.
+    pub(super) fn spend(&mut self, now: Moment, key: key::Call) -> bool {
+        let nodes = self.members.known();
+        let Some(service) = self.calls.get(key).map(|call| call.service) else { return false };
+        let Some(service) = self.services.get_mut(service) else { return false };
+        let paid = service.budget.spend(now, &self.terms, nodes);
+        self.stats.over_budget += u64::from(!paid);
+        paid
+    }
+
+    /// Asks the likeliest upstreams for their health if the best of them is not known well.
+    fn ask(
+        &mut self,
+        now: Moment,
+        key: key::Call,
+        candidates: &[Candidate],
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(best) = candidates.first() else { return false };
+        let call = &self.calls[key];
+        let waited = now.since(call.arrived);
+        let must = candidates.iter().all(|one| one.unproven);
+        let rounds = if must { ROUNDS * 2 } else { ROUNDS };
+        if !best.old || call.rounds >= rounds || waited >= PROBE_WAIT_MOST {
+            return false;
+        }
+        let mut asked = Vec::new();
+        for candidate in candidates.iter().filter(|one| one.old).take(ASKED) {
+            if self.probe(now, candidate.upstream, out) {
+                asked.push(candidate.upstream);
+            }
+        }
+        if asked.is_empty() {
+            return false;
+        }
+        let until = now + if must { PROBE_WAIT_MOST } else { PROBE_WAIT };
+        let call = &mut self.calls[key];
+        call.rounds += 1;
+        call.probes = asked;
+        call.probes_until = Some(until);
+        self.waits.insert((until, key));
+        true
+    }
+
+    /// Lets calls go on that have waited long enough for answers of health.
+    pub(super) fn expire_waits(&mut self, now: Moment, out: &mut Vec<Output>) {
+        while let Some((until, key)) = self.waits.first().copied().filter(|wait| wait.0 <= now) {
+            self.waits.remove(&(until, key));
+            self.go_on(now, key, out);
+        }
+    }
+
+    /// Lets calls go on that have waited for an upstream's health, if it was the last.
+    pub(super) fn release(&mut self, now: Moment, upstream: key::Upstream, out: &mut Vec<Output>) {
+        let waiting: Vec<key::Call> = self.waits.iter().map(|(_, key)| *key).collect();
+        for key in waiting {
+            let Some(call) = self.calls.get_mut(key) else { continue };
+            call.probes.retain(|one| *one != upstream);
+            if call.probes.is_empty() {
+                self.go_on(now, key, out);
+            }
+        }
+    }
+
+    fn go_on(&mut self, now: Moment, key: key::Call, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get_mut(key) else { return };
+        if let Some(until) = call.probes_until.take() {
+            self.waits.remove(&(until, key));
+        }
+        call.probes.clear();
+        self.place(now, key, out);
+    }
+
+    /// Says why no upstream can take a call.
+    fn lack(&self, key: key::Call) -> Refusal {
+        let call = &self.calls[key];
+        let upstreams = self.services.get(call.service).map(|one| one.upstreams.as_slice());
+        let serving = |key: &&key::Upstream| {
+            let state = self.upstreams.get(**key).map(|one| one.state);
+            matches!(state, Some(State::Warm | State::Cold))
+        };
+        let served = upstreams.unwrap_or_default().iter().any(|key| serving(&key));
+        match served {
+            true if call.tried.is_empty() => Refusal::Full,
+            true => Refusal::Attempts,
+            false => Refusal::NoUpstream,
+        }
+    }
+
+    fn candidates(&mut self, now: Moment, key: key::Call) -> Vec<Candidate> {
+        let Some(service) = self.services.get(self.calls[key].service) else { return Vec::new() };
+        let upstreams = service.upstreams.clone();
+        upstreams.into_iter().filter_map(|upstream| self.candidate(now, key, upstream)).collect()
+    }
+
+    /// Returns what speaks for an upstream, if a call may go there.
+    fn candidate(&mut self, now: Moment, key: key::Call, at: key::Upstream) -> Option<Candidate> {
+        let call = &self.calls[key];
+        let upstream = &self.upstreams[at];
+        let route = self.routes.arena.get(call.route)?;
+        let usable = matches!(upstream.state, State::Unproven | State::Warm | State::Cold);
+        let open = usable && !self.domains[upstream.domain].withdrawn && now >= upstream.full_until;
+        if !open || call.tried.contains(&at) || !self.fits_version(call, upstream.version) {
+            return None;
+        }
+        let crowd = if route.rank < LESS_URGENT { CROWD } else { CROWD_LESS_URGENT };
+        let gauge = upstream.gauge;
+        if gauge.load(now) >= crowd * f64::from(upstream.slots) {
+            return None;
+        }
+        let cold = upstream.state == State::Cold;
+        if cold && !self.may_send_cold(now, at) {
+            return None;
+        }
+        let unproven = upstream.state == State::Unproven;
+        let old = unproven || (gauge.age(now) > FRESH && gauge.told_at > Moment::default());
+        let near = upstream.domain == self.home;
+        let mut cost = if old {
+            // A good upstream would need this; asking it shows whether it is one.
+            let known = crate::gauge::Gauge { pace: 1.0, told_at: now, ..gauge };
+            known.cost(now, upstream.slots, route.service_time, cold)
+        } else {
+            gauge.cost(now, upstream.slots, route.service_time, cold)
+        };
+        cost += if near { 0.0 } else { AWAY_COST * route.target.0 as f64 };
+        cost *= if upstream.ill { 2.0 } else { 1.0 };
+        if call.trial {
+            // Load shows what a version bears, so few of its upstreams get the trial's share.
+            cost = (upstream.ident % 1_000) as f64;
+        } else if cold && near && self.rng.random_bool(TRY_COLD) {
+            cost *= 0.5;
+        }
+        Some(Candidate { upstream: at, cost, old, unproven, cold })
+    }
+
+    /// Tells whether this node may send a request to a cold upstream now.
+    fn may_send_cold(&self, now: Moment, key: key::Upstream) -> bool {
+        let upstream = &self.upstreams[key];
+        let service = &self.services[upstream.service];
+        let last = upstream.cold_sent.max(upstream.sent_at).unwrap_or(self.started_at);
+        if now.since(last) < cold::PACE || now.since(self.started_at) < cold::PACE {
+            return false;
+        }
+        let count = cold::senders(&self.terms, service.cold_rate);
+        let domain = self.domains[upstream.domain].name.as_str();
+        let others = self.members.live(now);
+        let others = others.map(|(ident, peer)| (ident, peer.member.domain == domain));
+        let own = (self.members.me(), self.members.own.domain == domain);
+        cold::is_sender(self.members.me(), upstream.ident, count, others.chain([own]))
+    }
+
+    /// Orders an exchange.
+    fn send(
+        &mut self,
+        now: Moment,
+        key: key::Call,
+        chosen: Candidate,
+        options: usize,
+        out: &mut Vec<Output>,
+    ) {
+        let upstream = &mut self.upstreams[chosen.upstream];
+        let why = Why {
+            cost: chosen.cost,
+            age: upstream.gauge.age(now),
+            pace: upstream.gauge.pace,
+            options,
+            table: self.table_version,
+            trial: self.calls[key].trial,
+            cold: chosen.cold,
+        };
+        let pace = upstream.gauge.pace(now);
+        upstream.gauge.own += 1;
+        upstream.sent_at = Some(now);
+        if chosen.cold {
+            upstream.cold_sent = Some(now);
+            self.stats.cold_sends += 1;
+        }
+        let exchange = self.exchanges.insert(Exchange {
+            call: key,
+            upstream: chosen.upstream,
+            state: self.charts.exchange.initial(),
+            arrived: false,
+            start: now,
+            cold: chosen.cold,
+            pace,
+        });
+        let call = &mut self.calls[key];
+        call.tried.push(chosen.upstream);
+        call.runs += 1;
+        call.live += 1;
+        self.stats.sends += 1;
+        out.push(Output::Send { token: call.token, exchange, upstream: chosen.upstream, why });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/health.rs
@@ -0,0 +1,101 @@
+//! Asking upstreams for their health.
+
+use base::prelude::*;
+
+use super::{Engine, Output};
+use crate::gauge::Report;
+use crate::upstream::Event;
+
+/// Part of the agreed rate that is used; restarts and differing views take the rest.
+const RATE_PART: f64 = 0.75;
+/// Questions that may be saved up.
+const SAVED: f64 = 4.0;
+/// Nodes of other failure domains that ask an upstream beside those of its own.
+const AWAY_NODES: usize = 3;
+/// Time after which a question without an answer is asked again.
+const FORGOTTEN: Span = Span::millis(400);
+
+record! {
+    /// What came of a question for health.
+    pub enum Health {
+        /// No answer came, or none that can be read.
+        Silent,
+        /// Another upstream has the address.
+        Other,
+        /// The upstream has answered.
+        Told {
+            /// Whether it says that it is well.
+            well: bool,
+            /// Its load.
+            report: Option<Report>,
+            /// How much longer its cold start goes on.
+            cold: Span,
+        },
+    }
+}
+
+impl Engine {
+    /// Asks an upstream for its health, unless that is under way or the agreed rate is used up.
+    ///
+    /// Returns whether an answer may come.
+    pub(super) fn probe(&mut self, now: Moment, key: key::Upstream, out: &mut Vec<Output>) -> bool {
+        let rate = self.probe_rate();
+        let Some(upstream) = self.upstreams.get_mut(key) else { return false };
+        if upstream.probe.is_some_and(|at| now.since(at) < FORGOTTEN) {
+            return true;
+        }
+        let elapsed = now.since(upstream.probe_refilled).as_seconds();
+        upstream.probe_refilled = now;
+        upstream.probe_tokens = (upstream.probe_tokens + rate * elapsed).min(SAVED);
+        if upstream.probe_tokens < 1.0 {
+            return false;
+        }
+        upstream.probe_tokens -= 1.0;
+        upstream.probe = Some(now);
+        self.stats.probes += 1;
+        out.push(Output::Probe { upstream: key });
+        true
+    }
+
+    /// Returns this node's part of the rate that one upstream bears.
+    fn probe_rate(&self) -> f64 {
+        let home = self.members.own.domain.as_str();
+        let near = self.members.peers().filter(|(_, peer)| peer.member.domain == home).count() + 1;
+        self.terms.probe_rate * RATE_PART / (near + AWAY_NODES) as f64
+    }
+
+    /// Takes in what came of a question.
+    pub(super) fn probed(
+        &mut self,
+        now: Moment,
+        key: key::Upstream,
+        health: &Health,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.probe = None;
+        match *health {
+            Health::Silent => {
+                self.accuse(now, key, out);
+                self.upstream_event(now, key, Event::Unreachable, out);
+            }
+            Health::Other => {
+                self.accuse(now, key, out);
+                self.upstream_event(now, key, Event::Unreachable, out);
+                out.push(Output::Retire { upstream: key });
+            }
+            Health::Told { well, report, cold } => {
+                upstream.gauge.heard_at = now;
+                upstream.ill = !well;
+                if let Some(report) = report {
+                    upstream.gauge.report(now, report);
+                }
+                upstream.cold_until = now + cold;
+                self.accused.remove(key);
+                let event = if cold > Span::ZERO { Event::SeenCold } else { Event::Proven };
+                self.upstream_event(now, key, event, out);
+            }
+        }
+        self.release(now, key, out);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/trials.rs
@@ -0,0 +1,323 @@
+//! Rollouts: which requests go to a target version, and how its trial ends.
+
+use base::prelude::*;
+use model::registry::{Phase, Rollout};
+use policy::rollout::{Arm, Judge, Place, Row, Tallies};
+
+use super::{Call, Engine, Note, Output};
+use crate::exchange::Exchange;
+use crate::message::Frame;
+use crate::trial::{self, Action, Event, Progress, State, Trial};
+
+/// Rows of evidence in one frame.
+const MOST_ROWS: usize = 64;
+/// Time for which an end that is not written is left to the next node in turn.
+const TURN: Span = Span::seconds(2);
+/// Time between two frames of evidence.
+const REPORT: Span = Span::millis(250);
+
+record! {
+    /// An end of a trial that the store is to accept.
+    pub struct Order {
+        /// Identity of the trial.
+        pub trial: u64,
+        /// The service.
+        pub service: String,
+        /// The target version.
+        pub target: String,
+        /// How it ended.
+        pub phase: Phase,
+    }
+}
+
+/// What a node has seen of a trial, and whom it told.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ledger {
+    tallies: Tallies,
+    driver: u64,
+    told_at: Moment,
+}
+
+impl Engine {
+    /// Starts a trial, unless it is known.
+    pub(super) fn start_trial(
+        &mut self,
+        now: Moment,
+        key: key::Service,
+        target: key::Version,
+        rollout: &Rollout,
+        out: &mut Vec<Output>,
+    ) {
+        let ident = trial::ident(&rollout.service, &rollout.target);
+        let service = &mut self.services[key];
+        if service.trial.as_ref().is_some_and(|trial| trial.ident == ident) {
+            return;
+        }
+        service.established.remove(&target);
+        if service.settled.is_some_and(|(version, _)| version == target) {
+            service.settled = None;
+        }
+        service.trial = Some(Trial {
+            ident,
+            service: key,
+            target,
+            service_name: rollout.service.clone(),
+            target_name: rollout.target.clone(),
+            start: now,
+            duration: rollout.duration,
+            state: self.charts.trial.initial(),
+            since: now,
+            credit: 0.0,
+            judge: Judge::default(),
+            written: false,
+            wrote_at: None,
+        });
+        self.note_trial(key, out);
+    }
+
+    /// Takes in how a trial ended, as the store says.
+    pub(super) fn settle_trial(
+        &mut self,
+        now: Moment,
+        key: key::Service,
+        target: key::Version,
+        phase: Phase,
+        out: &mut Vec<Output>,
+    ) {
+        let service = &mut self.services[key];
+        service.settled = Some((target, phase));
+        if phase == Phase::Completed {
+            service.established.insert(target);
+        } else {
+            service.established.remove(&target);
+        }
+        if let Some(trial) = service.trial.as_mut().filter(|trial| trial.target == target) {
+            trial.state = if phase == Phase::Completed { State::Finished } else { State::Failed };
+            trial.since = now;
+            trial.written = true;
+            self.note_trial(key, out);
+        }
+    }
+
+    fn note_trial(&self, key: key::Service, out: &mut Vec<Output>) {
+        let Some(trial) = &self.services[key].trial else { return };
+        out.push(Output::Note(Note::Trial {
+            service: trial.service_name.clone(),
+            target: trial.target_name.clone(),
+            state: trial.state,
+            samples: trial.judge.samples(),
+        }));
+    }
+
+    /// Tells whether the next request of a service goes to the target version of its trial.
+    pub(super) fn draw_trial(&mut self, key: key::Service) -> bool {
+        let allowed = self.terms.trial_share;
+        let service = &mut self.services[key];
+        let target = service.trial.as_ref().map(|trial| trial.target);
+        let upstreams = &self.upstreams;
+        let present = service.upstreams.iter().any(|at| Some(upstreams[*at].version) == target);
+        present && service.trial.as_mut().is_some_and(|trial| trial.draw(allowed))
+    }
+
+    /// Gives back a request that the target version had no room for.
+    pub(super) fn restore_trial(&mut self, key: key::Service) {
+        if let Some(trial) = self.services[key].trial.as_mut() {
+            trial.restore();
+        }
+    }
+
+    /// Tells whether an upstream of a version may get a call.
+    pub(super) fn fits_version(&self, call: &Call, version: key::Version) -> bool {
+        let service = &self.services[call.service];
+        if let Some(trial) = &service.trial {
+            return match trial.state {
+                State::Trying => (version == trial.target) == call.trial,
+                State::Switching | State::Finished => {
+                    version == trial.target || !self.is_present(call.service, trial.target)
+                }
+                State::Failed => version != trial.target,
+            };
+        }
+        match service.settled {
+            Some((settled, Phase::Completed)) => {
+                version == settled || !self.is_present(call.service, settled)
+            }
+            Some((settled, _)) => version != settled,
+            None => service.established.contains(&version),
+        }
+    }
+
+    fn is_present(&self, service: key::Service, version: key::Version) -> bool {
+        let upstreams = &self.services[service].upstreams;
+        upstreams.iter().any(|at| {
+            let upstream = &self.upstreams[*at];
+            upstream.version == version && upstream.state != crate::upstream::State::Draining
+        })
+    }
+
+    /// Counts an answer, or its absence, for the trial of its service.
+    pub(super) fn witness(&mut self, now: Moment, exchange: &Exchange, failed: bool) {
+        let Some(upstream) = self.upstreams.get(exchange.upstream) else { return };
+        let Some(trial) = &self.services[upstream.service].trial else { return };
+        if !matches!(trial.state, State::Trying | State::Switching) {
+            return;
+        }
+        let call = self.calls.get(exchange.call);
+        let route = call.and_then(|call| self.routes.arena.get(call.route));
+        let new = upstream.version == trial.target;
+        let place = Place {
+            arm: if new { Arm::New } else { Arm::Old },
+            route: route.map_or(0, |route| route.ident),
+            upstream: if new { upstream.ident } else { 0 },
+        };
+        // Work that a slow neighbour or a cold start stretches says nothing of the version.
+        let taken = now.since(exchange.start).0 as f64 / exchange.pace.max(0.5);
+        let service = (!exchange.cold).then_some(taken);
+        self.tallies.entry(trial.ident).or_default().tallies.add(place, failed, service);
+    }
+
+    /// Moves the trials that this node drives, and tells the drivers of the others.
+    pub(super) fn drive_trials(&mut self, now: Moment, out: &mut Vec<Output>) {
+        let keys: Vec<key::Service> = self.services.keys().collect();
+        for key in keys {
+            let Some(trial) = &self.services[key].trial else { continue };
+            let ident = trial.ident;
+            let driver = self.members.driver(now, ident);
+            self.report_evidence(now, key, ident, driver, out);
+            let open = matches!(
+                self.services[key].trial.as_ref().map(|trial| trial.state),
+                Some(State::Trying | State::Switching)
+            );
+            if driver == self.members.me() || (!open && self.is_my_turn(now, key)) {
+                self.drive(now, key, out);
+            }
+        }
+    }
+
+    /// Tells whether an end has waited so long for its driver that this node writes it.
+    fn is_my_turn(&self, now: Moment, key: key::Service) -> bool {
+        let Some(trial) = &self.services[key].trial else { return false };
+        let me = self.members.me();
+        let rank = |ident: u64| base::hash::mix(trial.ident ^ base::hash::mix(ident));
+        let before = self.members.live(now).filter(|(ident, _)| rank(*ident) < rank(me)).count();
+        now.since(trial.since).0 >= TURN.0 * before as u64
+    }
+
+    fn drive(&mut self, now: Moment, key: key::Service, out: &mut Vec<Output>) {
+        let Some(trial) = self.services[key].trial.as_mut() else { return };
+        let Some(event) = trial.look(now) else { return };
+        self.step_trial(now, key, event, out);
+    }
+
+    fn step_trial(&mut self, now: Moment, key: key::Service, event: Event, out: &mut Vec<Output>) {
+        let Some(trial) = self.services[key].trial.as_mut() else { return };
+        let step = self.charts.trial.step(trial.state, event);
+        if trial.state != step.next {
+            trial.state = step.next;
+            trial.since = now;
+        }
+        let actions = step.actions.to_vec();
+        for action in actions {
+            match action {
+                Action::Announce => {
+                    self.note_trial(key, out);
+                    self.beat(now, out);
+                }
+                Action::Write => self.write_trial(now, key, out),
+            }
+        }
+    }
+
+    fn write_trial(&mut self, now: Moment, key: key::Service, out: &mut Vec<Output>) {
+        let Some(trial) = self.services[key].trial.as_mut() else { return };
+        trial.wrote_at = Some(now);
+        let completed = trial.state == State::Finished;
+        out.push(Output::Write(Order {
+            trial: trial.ident,
+            service: trial.service_name.clone(),
+            target: trial.target_name.clone(),
+            phase: if completed { Phase::Completed } else { Phase::RolledBack },
+        }));
+    }
+
+    /// Notes whether the store has accepted an end.
+    pub(super) fn written(&mut self, trial: u64, accepted: bool) {
+        let known = self.services.values_mut().filter_map(|service| service.trial.as_mut());
+        for one in known.filter(|one| one.ident == trial) {
+            one.written |= accepted;
+        }
+    }
+
+    fn report_evidence(
+        &mut self,
+        now: Moment,
+        key: key::Service,
+        trial: u64,
+        driver: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(ledger) = self.tallies.get_mut(&trial) else { return };
+        if ledger.driver != driver {
+            ledger.driver = driver;
+            ledger.tallies.renew();
+        }
+        if now.since(ledger.told_at) < REPORT {
+            return;
+        }
+        ledger.told_at = now;
+        let rows = ledger.tallies.take_changed(MOST_ROWS);
+        if rows.is_empty() {
+            return;
+        }
+        if driver == self.members.me() {
+            self.judge(key, driver, &rows);
+        } else {
+            out.push(Output::Frame { to: driver, frame: Frame::Evidence { trial, rows } });
+        }
+    }
+
+    /// Takes in what another node has seen.
+    pub(super) fn hear_evidence(&mut self, trial: u64, rows: &[Row], from: u64) {
+        let keys = self
+            .services
+            .iter()
+            .filter(|(_, service)| service.trial.as_ref().is_some_and(|one| one.ident == trial));
+        let keys: Vec<key::Service> = keys.map(|(key, _)| key).collect();
+        for key in keys {
+            self.judge(key, from, rows);
+        }
+    }
+
+    fn judge(&mut self, key: key::Service, from: u64, rows: &[Row]) {
+        if let Some(trial) = self.services[key].trial.as_mut() {
+            trial.judge.take(from, rows, true);
+        }
+    }
+
+    /// Returns how far this node sees each trial that may not be over for all.
+    pub(super) fn progress(&self, now: Moment) -> Vec<Progress> {
+        let trials = self.services.values().filter_map(|service| service.trial.as_ref());
+        let open = trials.filter(|trial| !trial.written);
+        open.map(|trial| Progress {
+            trial: trial.ident,
+            age: now.since(trial.start),
+            state: trial.state,
+        })
+        .collect()
+    }
+
+    /// Takes in how far another node sees a trial.
+    pub(super) fn hear_progress(&mut self, now: Moment, told: &Progress, out: &mut Vec<Output>) {
+        let keys: Vec<key::Service> = self.services.keys().collect();
+        for key in keys {
+            let Some(trial) = self.services[key].trial.as_mut() else { continue };
+            if trial.ident != told.trial {
+                continue;
+            }
+            trial.start = trial.start.min(now - told.age);
+            if trial.advance(now, told.state) {
+                self.note_trial(key, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gauge.rs
@@ -0,0 +1,135 @@
+//! What a node knows of an upstream's load and speed.
+
+use base::prelude::*;
+
+/// Time after which what others do at an upstream is only guessed.
+const OTHERS_LIFE: Span = Span::millis(250);
+/// Time after which a told pace has lost most of its worth; neighbours change faster than that.
+const PACE_LIFE: Span = Span::millis(250);
+/// Mean of the pace that is assumed while nothing is told.
+const USUAL_PACE: f64 = 1.5;
+/// Share of taken slots from which on an upstream slows down.
+const KNEE: f64 = 0.8;
+/// How much slower a nearly full upstream is.
+const KNEE_FACTOR: f64 = 1.7;
+/// How much slower an upstream in a cold start is.
+const COLD_FACTOR: f64 = 2.0;
+/// Time in which the share of failed answers loses most of its weight.
+const FAILURE_LIFE: Span = Span::seconds(4);
+/// Weight of one answer in the share of failed ones.
+const FAILURE_GAIN: f64 = 0.25;
+/// Cost of a certain failure against that of a usual answer.
+const FAILURE_COST: f64 = 8.0;
+
+record! {
+    /// What an upstream says of itself.
+    #[derive(Copy)]
+    pub struct Report {
+        /// Requests that run there.
+        pub running: u32,
+        /// Requests that wait there.
+        pub waiting: u32,
+        /// Requests that it runs at a time.
+        pub slots: u32,
+        /// How much slower than usual work is there now; one is usual.
+        pub pace: f64,
+    }
+
+    /// Load and speed of an upstream as one node estimates them.
+    #[derive(Copy)]
+    pub struct Gauge {
+        /// Exchanges of this node in progress there.
+        pub own: u32,
+        /// Requests of others there at the last report.
+        pub others: f64,
+        /// Pace at the last report.
+        pub pace: f64,
+        /// When the last report came.
+        pub told_at: Moment,
+        /// When the upstream last answered anything.
+        pub heard_at: Moment,
+        /// Share of answers that failed, lately.
+        pub failures: f64,
+        /// When an answer was last counted.
+        pub counted_at: Moment,
+    }
+}
+
+impl Default for Gauge {
+    fn default() -> Self {
+        Self {
+            own: 0,
+            others: 0.0,
+            pace: USUAL_PACE,
+            told_at: Moment::default(),
+            heard_at: Moment::default(),
+            failures: 0.0,
+            counted_at: Moment::default(),
+        }
+    }
+}
+
+impl Gauge {
+    /// Takes in a report.
+    pub fn report(&mut self, now: Moment, report: Report) {
+        let total = report.running + report.waiting;
+        self.others = f64::from(total.saturating_sub(self.own));
+        self.pace = report.pace.max(0.1);
+        self.told_at = now;
+    }
+
+    /// Counts an answer.
+    pub fn count(&mut self, now: Moment, failed: bool) {
+        let share = self.failure_share(now);
+        self.failures = share + FAILURE_GAIN * (f64::from(u8::from(failed)) - share);
+        self.counted_at = now;
+    }
+
+    /// Returns the share of answers that failed, lately.
+    #[must_use]
+    pub fn failure_share(&self, now: Moment) -> f64 {
+        self.failures * decay(now.since(self.counted_at), FAILURE_LIFE)
+    }
+
+    /// Estimates the requests there.
+    #[must_use]
+    pub fn load(&self, now: Moment) -> f64 {
+        f64::from(self.own) + self.others * decay(now.since(self.told_at), OTHERS_LIFE)
+    }
+
+    /// Estimates the pace there.
+    #[must_use]
+    pub fn pace(&self, now: Moment) -> f64 {
+        let worth = decay(now.since(self.told_at), PACE_LIFE);
+        USUAL_PACE + (self.pace - USUAL_PACE) * worth
+    }
+
+    /// Returns how old the last report is.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Span {
+        now.since(self.told_at)
+    }
+
+    /// Estimates the time of one more request whose usual work takes `service` microseconds.
+    #[must_use]
+    pub fn cost(&self, now: Moment, slots: u32, service: f64, cold: bool) -> f64 {
+        let slots = f64::from(slots.max(1));
+        let load = self.load(now);
+        let mut time = service * self.pace(now);
+        if load + 1.0 > KNEE * slots {
+            time *= KNEE_FACTOR;
+        }
+        if cold {
+            time *= COLD_FACTOR;
+        }
+        let queued = (load + 1.0 - slots).max(0.0);
+        let wait = queued / slots * time;
+        // Load is stale, so a free slot is worth more where many are free.
+        let crowding = 0.1 * service * load / slots;
+        time + wait + crowding + FAILURE_COST * service * self.failure_share(now)
+    }
+}
+
+fn decay(age: Span, life: Span) -> f64 {
+    (-(age.0 as f64) / life.0 as f64).exp()
+}
--- /dev/null
+++ b/crates/gateway/src/trial.rs
@@ -0,0 +1,184 @@
+//! The trial of a service's target version.
+
+use base::hash::digest;
+use base::prelude::*;
+use policy::rollout::{Finding, Judge};
+
+/// Part of the allowed share that a trial uses.
+const SHARE_PART: f64 = 0.65;
+/// Part of a trial's time after which it may end well.
+const TRY_PART: f64 = 0.5;
+/// Part of a trial's time after which less evidence is enough.
+const HURRY_PART: f64 = 0.75;
+/// Part of a trial's time at which it ends badly without evidence.
+const LAST_PART: f64 = 0.92;
+/// Answers that are enough at first.
+const ENOUGH: u32 = 60;
+/// Answers that are enough later.
+const ENOUGH_LATE: u32 = 15;
+/// Time between the switch and its end, in which nodes follow and badness under load shows.
+pub const SETTLE: Span = Span::millis(800);
+/// Time between two tries to write the end.
+pub const WRITE_AGAIN: Span = Span::millis(700);
+
+symbols! {
+    /// Where a trial is.
+    pub enum State {
+        /// The target version gets a small share.
+        Trying = "trying",
+        /// All traffic goes to it.
+        Switching = "switching",
+        /// It stays.
+        Finished = "finished",
+        /// It gets nothing more.
+        Failed = "failed",
+    }
+}
+
+symbols! {
+    /// What happens to a trial.
+    pub enum Event {
+        /// The evidence is enough and good.
+        Enough = "enough",
+        /// The nodes have followed the switch.
+        Settled = "settled",
+        /// The version is bad.
+        Bad = "bad",
+        /// The time is over without enough evidence.
+        Overdue = "overdue",
+        /// The store has not accepted the end yet.
+        Again = "again",
+    }
+}
+
+symbols! {
+    /// What its driver does about it.
+    pub enum Action {
+        /// Tells the other nodes at once.
+        Announce = "announce",
+        /// Writes the end to the store.
+        Write = "write",
+    }
+}
+
+record! {
+    /// How far a node sees a trial.
+    #[derive(Copy)]
+    pub struct Progress {
+        /// Identity of the trial.
+        pub trial: u64,
+        /// Time since its order became known.
+        pub age: Span,
+        /// Where it is.
+        pub state: State,
+    }
+}
+
+/// A trial as one node sees it.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// Identity that is equal on every node.
+    pub ident: u64,
+    /// The service.
+    pub service: key::Service,
+    /// The version.
+    pub target: key::Version,
+    /// Name of the service, for the store.
+    pub service_name: String,
+    /// Name of the version, for the store.
+    pub target_name: String,
+    /// When the order became known to any node.
+    pub start: Moment,
+    /// Time from the order to its deadline.
+    pub duration: Span,
+    /// Where it is.
+    pub state: State,
+    /// When that began.
+    pub since: Moment,
+    /// How far the target version is behind its share, in requests.
+    pub credit: f64,
+    /// The tests, at the driver.
+    pub judge: Judge,
+    /// Whether the store has accepted the end.
+    pub written: bool,
+    /// When the end was last written.
+    pub wrote_at: Option<Moment>,
+}
+
+/// Returns the identity of a trial.
+#[must_use]
+pub fn ident(service: &str, target: &str) -> u64 {
+    digest(&[b"trial", service.as_bytes(), target.as_bytes()])
+}
+
+impl Trial {
+    /// Returns the share of requests that the target version gets.
+    #[must_use]
+    pub fn share(&self, allowed: f64) -> f64 {
+        match self.state {
+            State::Trying => allowed * SHARE_PART,
+            State::Switching | State::Finished => 1.0,
+            State::Failed => 0.0,
+        }
+    }
+
+    /// Tells whether the next request goes to the target version.
+    pub fn draw(&mut self, allowed: f64) -> bool {
+        let share = self.share(allowed);
+        self.credit = (self.credit + share).min(2.0);
+        let drawn = self.credit >= 1.0;
+        if drawn {
+            self.credit -= 1.0;
+        }
+        drawn
+    }
+
+    /// Gives back a request that could not go to the target version.
+    pub fn restore(&mut self) {
+        self.credit = (self.credit + 1.0).min(2.0);
+    }
+
+    /// Returns what has happened, seen by the driver.
+    #[must_use]
+    pub fn look(&self, now: Moment) -> Option<Event> {
+        match self.state {
+            State::Trying => self.look_trying(now),
+            State::Switching if self.is_bad() => Some(Event::Bad),
+            State::Switching => (now.since(self.since) >= SETTLE).then_some(Event::Settled),
+            State::Finished | State::Failed => {
+                let due = self.wrote_at.is_none_or(|at| now.since(at) >= WRITE_AGAIN);
+                (due && !self.written).then_some(Event::Again)
+            }
+        }
+    }
+
+    fn look_trying(&self, now: Moment) -> Option<Event> {
+        if self.is_bad() {
+            return Some(Event::Bad);
+        }
+        let part = now.since(self.start).0 as f64 / self.duration.0.max(1) as f64;
+        let telling = self.judge.telling();
+        let clear = self.judge.finding() == Finding::Clear;
+        let enough = (part >= TRY_PART && telling >= ENOUGH)
+            || (part >= HURRY_PART && telling >= ENOUGH_LATE);
+        match () {
+            () if enough && clear => Some(Event::Enough),
+            () if part >= LAST_PART => Some(Event::Overdue),
+            () => None,
+        }
+    }
+
+    fn is_bad(&self) -> bool {
+        matches!(self.judge.finding(), Finding::Bad(_))
+    }
+
+    /// Moves to a state that another node or the store has told, if it is further.
+    pub fn advance(&mut self, now: Moment, state: State) -> bool {
+        let further = state > self.state && self.state != State::Finished;
+        if further {
+            self.state = state;
+            self.since = now;
+        }
+        further
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod instance;
 pub mod object;
 pub mod query;
+pub mod registry;
+pub mod table;
 
 mod apply;
 
--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,39 @@
+//! The clock of a node, which also counts time for which the machine was suspended.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base::prelude::*;
+use rustix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
+
+/// Reads the time for decisions.
+#[must_use]
+pub fn now() -> Moment {
+    read(ClockId::Boottime)
+}
+
+/// Reads the time that does not count suspensions.
+#[must_use]
+pub fn running() -> Moment {
+    read(ClockId::Monotonic)
+}
+
+fn read(clock: ClockId) -> Moment {
+    let time = clock_gettime(clock);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    Moment(seconds * 1_000_000 + nanos / 1_000)
+}
+
+/// Returns the runtime's instant for a moment.
+#[must_use]
+pub fn instant(moment: Moment) -> Instant {
+    Instant::now() + Duration::from(moment.since(now()))
+}
+
+/// Returns Unix time in milliseconds, for logs.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/logs.rs
@@ -0,0 +1,176 @@
+//! Logs as JSON lines on standard output: bounded, and never waited for.
+
+use std::fmt::Write as _;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use base::prelude::*;
+use derive_more::{Display, Error, From};
+use log::{Level, LevelFilter, Record};
+use log4rs::append::Append;
+use log4rs::config::{Appender, Config, Root, runtime::ConfigErrors};
+use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
+use tokio::sync::mpsc;
+
+use crate::clock;
+
+/// Name of the only appender.
+const APPENDER: &str = "lines";
+/// Lines that wait to be written; more are dropped and counted.
+const MOST_WAITING: usize = 1_024;
+/// Seconds' worth of lines that may come at once.
+const BURST_SECONDS: f64 = 2.0;
+/// Pause while standard output takes nothing.
+const BLOCKED: Duration = Duration::from_millis(20);
+/// Tries to write the same bytes before they are dropped.
+const MOST_BLOCKED: u32 = 100;
+
+/// Logs that cannot be set up.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// The configuration of the library does not fit.
+    #[display("logs cannot be configured: {_0}")]
+    Config(ConfigErrors),
+    /// Something else has set up logs already.
+    #[display("logs are set up already: {_0}")]
+    Logger(log::SetLoggerError),
+    /// Standard output cannot be set to never block.
+    #[display("standard output cannot be used: {_0}")]
+    Output(rustix::io::Errno),
+}
+
+/// Lets through a stated rate of lines and counts the others.
+#[derive(Debug)]
+pub struct Limit {
+    rate: f64,
+    tokens: f64,
+    at: Moment,
+    suppressed: u64,
+}
+
+impl Limit {
+    /// Makes a limit of `rate` lines a second.
+    #[must_use]
+    pub fn new(rate: f64, now: Moment) -> Self {
+        Self { rate, tokens: rate * BURST_SECONDS, at: now, suppressed: 0 }
+    }
+
+    /// Tells whether one more line may be written; if so, also how many were not before it.
+    pub fn pass(&mut self, now: Moment, urgent: bool) -> Option<u64> {
+        let elapsed = now.since(self.at).as_seconds();
+        self.at = now;
+        self.tokens = (self.tokens + elapsed * self.rate).min(self.rate * BURST_SECONDS);
+        // The last part is kept for lines that are not of the daily round.
+        let floor = if urgent { 1.0 } else { 1.0 + self.rate * BURST_SECONDS * 0.25 };
+        if self.tokens < floor {
+            self.suppressed += 1;
+            return None;
+        }
+        self.tokens -= 1.0;
+        Some(std::mem::take(&mut self.suppressed))
+    }
+}
+
+/// Formats lines and hands them to the task that writes.
+#[derive(Debug)]
+struct Lines {
+    limit: Mutex<Limit>,
+    lines: mpsc::Sender<String>,
+    dropped: AtomicU64,
+}
+
+impl Append for Lines {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let urgent = record.level() <= Level::Warn;
+        let passed = match self.limit.lock() {
+            Ok(mut limit) => limit.pass(clock::now(), urgent),
+            Err(_) => None,
+        };
+        let Some(suppressed) = passed else { return Ok(()) };
+        let suppressed = suppressed + self.dropped.swap(0, Ordering::Relaxed);
+        if self.lines.try_send(line(record, suppressed)).is_err() {
+            self.dropped.fetch_add(suppressed + 1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+/// Makes a line; messages are JSON objects or plain text.
+fn line(record: &Record<'_>, suppressed: u64) -> String {
+    let message = record.args().to_string();
+    let mut line = format!("{{\"ms\":{},\"level\":\"{}\",", clock::unix_ms(), record.level());
+    if suppressed > 0 {
+        // Writing to a string does not fail.
+        let _ = write!(line, "\"suppressed\":{suppressed},");
+    }
+    match message.strip_prefix('{') {
+        Some(fields) => line.push_str(fields),
+        None => {
+            let text = serde_json::to_string(&message).unwrap_or_default();
+            let _ = write!(line, "\"message\":{text}}}");
+        }
+    }
+    line.push('\n');
+    line
+}
+
+/// Writes a value as one line.
+pub fn value(level: Level, value: &impl serde::Serialize) {
+    if log::log_enabled!(level) {
+        match serde_json::to_string(value) {
+            Ok(text) => log::log!(level, "{text}"),
+            Err(error) => log::error!("a line cannot be written: {error}"),
+        }
+    }
+}
+
+/// Starts logging at the given level with at most `rate` lines a second.
+///
+/// Needs a runtime, in which a task writes the lines.
+///
+/// # Errors
+///
+/// Returns an error if logs were set up before or standard output cannot be used.
+pub fn start(level: LevelFilter, rate: u64) -> Result<(), Fault> {
+    let output = rustix::stdio::stdout();
+    let flags = fcntl_getfl(output)?;
+    fcntl_setfl(output, flags | OFlags::NONBLOCK)?;
+    let (lines, waiting) = mpsc::channel(MOST_WAITING);
+    let limit = Mutex::new(Limit::new(rate as f64, clock::now()));
+    let append = Lines { limit, lines, dropped: AtomicU64::new(0) };
+    let appender = Appender::builder().build(APPENDER, Box::new(append));
+    let root = Root::builder().appender(APPENDER).build(level);
+    let config = Config::builder().appender(appender).build(root)?;
+    log4rs::init_config(config)?;
+    tokio::spawn(write_lines(waiting));
+    Ok(())
+}
+
+async fn write_lines(mut lines: mpsc::Receiver<String>) {
+    while let Some(mut text) = lines.recv().await {
+        while let Ok(more) = lines.try_recv() {
+            text.push_str(&more);
+        }
+        write_all(text.as_bytes()).await;
+    }
+}
+
+/// Writes bytes as far as standard output takes them, and drops the rest in the end.
+async fn write_all(mut bytes: &[u8]) {
+    let mut blocked = 0;
+    while !bytes.is_empty() && blocked < MOST_BLOCKED {
+        match rustix::io::write(rustix::stdio::stdout(), bytes) {
+            Ok(count) => bytes = &bytes[count..],
+            Err(rustix::io::Errno::AGAIN) => {
+                blocked += 1;
+                tokio::time::sleep(BLOCKED).await;
+            }
+            Err(rustix::io::Errno::INTR) => {}
+            // Nobody reads any more, and there is nowhere to tell it.
+            Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/reader.rs
@@ -0,0 +1,148 @@
+//! Tasks that read one kind of fact each from the store and watch for changes.
+
+use std::time::Duration;
+
+use base::prelude::*;
+use gateway::view::Batch;
+use log::Level;
+use model::registry::Kind;
+use rand::RngExt;
+use serde::Serialize;
+use store::{Error, Listing, Registry};
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::logs;
+use crate::steer::{Message, Way};
+
+/// Time for which a watch of the kind that proves the store's presence waits.
+const WAIT_PROOF: Duration = Duration::from_millis(1_000);
+/// Time for which the other watches wait.
+const WAIT: Duration = Duration::from_secs(15);
+/// First pause after a failure.
+const PAUSE: Span = Span::millis(150);
+/// Longest pause after failures.
+const MOST_PAUSE: Span = Span::millis(1_200);
+/// Time without an answer after which the store counts as having been away.
+const AWAY: Span = Span::millis(900);
+
+/// A change of what a reader believes of the store, for the log.
+#[derive(Debug, Serialize)]
+struct Line {
+    event: &'static str,
+    kind: Kind,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+    away_ms: u64,
+}
+
+/// Reads one kind of fact.
+pub struct Reader<R: Registry> {
+    store: R,
+    kind: Kind,
+    steer: Way,
+    watching: watch::Receiver<bool>,
+    /// Revision after which to watch; zero if everything has to be read.
+    after: u64,
+    /// Revision that an answer without changes named, which the next one may confirm.
+    quiet: Option<u64>,
+    lost_at: Option<Moment>,
+    pause: Span,
+}
+
+impl<R: Registry> Reader<R> {
+    /// Makes the task's state.
+    #[must_use]
+    pub fn new(store: R, kind: Kind, steer: Way, watching: watch::Receiver<bool>) -> Self {
+        Self { store, kind, steer, watching, after: 0, quiet: None, lost_at: None, pause: PAUSE }
+    }
+
+    /// Runs the task until the decisions end.
+    pub async fn run(mut self) {
+        loop {
+            if self.after > 0 && !*self.watching.borrow_and_update() {
+                if self.watching.changed().await.is_err() {
+                    return;
+                }
+                let Ok(known) = self.steer.ask(|reply| Message::Revision(self.kind, reply)).await
+                else {
+                    return;
+                };
+                self.after = known;
+                self.quiet = None;
+                continue;
+            }
+            let asked_at = clock::now();
+            let read = if self.after == 0 {
+                self.list(asked_at).await
+            } else {
+                self.watch(asked_at).await
+            };
+            match read {
+                Ok(()) => {
+                    self.pause = PAUSE;
+                    self.lost_at = None;
+                }
+                Err(Error::Compacted) => self.after = 0,
+                Err(error) => self.lost(asked_at, &error).await,
+            }
+        }
+    }
+
+    async fn list(&mut self, asked_at: Moment) -> Result<(), Error> {
+        let Listing { items, at } = self.store.list(self.kind).await?;
+        let away = self.lost_at.map_or(Span::ZERO, |lost| clock::now().since(lost));
+        let outage = away > AWAY;
+        if self.lost_at.is_some() {
+            let away_ms = away.as_millis();
+            let line = Line { event: "store_regained", kind: self.kind, error: None, away_ms };
+            logs::value(Level::Warn, &line);
+        }
+        let batch = Batch { after: None, at, outage, items };
+        self.steer.post(Message::Facts { kind: self.kind, batch, asked_at });
+        self.after = at;
+        self.quiet = None;
+        Ok(())
+    }
+
+    async fn watch(&mut self, asked_at: Moment) -> Result<(), Error> {
+        let wait = if self.kind == Kind::Upstreams { WAIT_PROOF } else { WAIT };
+        let mut watching = self.watching.clone();
+        let read = tokio::select! {
+            read = self.store.watch(self.kind, self.after, wait) => read?,
+            // Others watch now, and a watch that waits has its price.
+            _ = watching.wait_for(|watching| !watching) => return Ok(()),
+        };
+        let Listing { items, at } = read;
+        let kind = self.kind;
+        if items.is_empty() {
+            self.steer.post(Message::Current { kind, at: self.after, asked_at });
+            // A watch may have missed what came just before its end; the next one starts before
+            // that, and the store's history still has it.
+            if let Some(quiet) = self.quiet.replace(at) {
+                self.after = quiet;
+            }
+            return Ok(());
+        }
+        let batch = Batch { after: Some(self.after), at, outage: false, items };
+        self.after = at;
+        self.quiet = None;
+        self.steer.post(Message::Facts { kind, batch, asked_at });
+        Ok(())
+    }
+
+    /// Notes a failure and waits a while, longer each time and not in step with other nodes.
+    async fn lost(&mut self, asked_at: Moment, error: &Error) {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(asked_at);
+            let error = Some(error.to_string());
+            let line = Line { event: "store_lost", kind: self.kind, error, away_ms: 0 };
+            logs::value(Level::Warn, &line);
+        }
+        // What was missed meanwhile shows only in everything.
+        self.after = 0;
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(self.pause.scale(jitter).into()).await;
+        self.pause = (self.pause + self.pause).min(MOST_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/node/src/steer.rs
@@ -0,0 +1,535 @@
+//! The task that owns the decisions and the idle connections.
+//!
+//! It takes messages in the order in which they were sent, which an actor's mailbox would not keep:
+//! the end of an exchange that overtakes its sending means something else.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use gateway::engine::{Advice, Dump, Health, Outcome, Refusal, Request, Why};
+use gateway::exchange::Event;
+use gateway::gauge::Report;
+use gateway::message::Frame;
+use gateway::view::Batch;
+use gateway::{Engine, Input, Output};
+use log::Level;
+use model::registry::Kind;
+use model::table::Limits;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+use xtra::Address;
+
+use crate::Dialect;
+use crate::clock;
+use crate::contact::{Contact, End};
+use crate::link::{Idle, Link};
+use crate::logs;
+use crate::peers::{Deliver, Hail, Learn, Peers};
+use crate::probe::{self, Question};
+
+/// Time between ticks of the decisions.
+const TICK: Span = Span::millis(100);
+/// Ticks between sweeps of idle connections.
+const SWEEP_TICKS: u32 = 10;
+/// Difference of the clocks that shows a suspension.
+const SUSPENDED: Span = Span::millis(250);
+
+/// What the task is told.
+#[derive(Debug)]
+pub enum Message {
+    /// A request asks where to go.
+    Place {
+        /// The request; its mark is set by the task.
+        request: Request,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Directive>,
+    },
+    /// A request was handed to a connection.
+    Sent(key::Attempt),
+    /// An exchange has ended.
+    Ended {
+        /// The call's mark.
+        token: u64,
+        /// The exchange.
+        exchange: key::Attempt,
+        /// What happened.
+        event: Event,
+        /// What the upstream said of itself.
+        report: Option<Report>,
+        /// Where the next directive goes.
+        reply: oneshot::Sender<Directive>,
+    },
+    /// The answer to a call takes long.
+    Slow {
+        /// The call's mark.
+        token: u64,
+        /// The call.
+        call: key::Call,
+        /// Where the next directive goes.
+        reply: oneshot::Sender<Directive>,
+    },
+    /// The time of a call is over.
+    Late {
+        /// The call's mark.
+        token: u64,
+        /// The call.
+        call: key::Call,
+        /// Where the next directive goes.
+        reply: oneshot::Sender<Directive>,
+    },
+    /// The caller of a call has left.
+    Left(key::Call),
+    /// A connection is free.
+    Free(key::Upstream, Link),
+    /// A question for health has ended.
+    Probed {
+        /// The upstream.
+        upstream: key::Upstream,
+        /// What came of it.
+        health: Health,
+    },
+    /// The store holds facts.
+    Facts {
+        /// Their kind.
+        kind: Kind,
+        /// The facts.
+        batch: Batch,
+        /// When they were asked for.
+        asked_at: Moment,
+    },
+    /// The store has nothing newer.
+    Current {
+        /// The kind.
+        kind: Kind,
+        /// Revision of the store.
+        at: u64,
+        /// When it was asked.
+        asked_at: Moment,
+    },
+    /// The store has accepted how a trial ended, or has not.
+    Written {
+        /// Identity of the trial.
+        trial: u64,
+        /// Whether it was accepted.
+        accepted: bool,
+    },
+    /// A frame of another node.
+    Peer {
+        /// The node's identity.
+        from: u64,
+        /// What it sent.
+        frame: Frame,
+    },
+    /// A caller asks where to connect.
+    Advise {
+        /// Its failure domain.
+        domain: Option<String>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Advice>,
+    },
+    /// Someone asks whether the node can serve.
+    Ready(oneshot::Sender<bool>),
+    /// A reader asks up to which revision facts are known.
+    Revision(Kind, oneshot::Sender<u64>),
+    /// An operator asks for the state.
+    Inspect(oneshot::Sender<State>),
+    /// The node is to leave.
+    Leave,
+}
+
+/// What a request's front is to do.
+#[derive(Debug)]
+pub enum Directive {
+    /// Send the request to an upstream.
+    Send(Box<Target>),
+    /// Pass on the answer of the exchange that was told last.
+    Pass,
+    /// Wait for the exchanges in progress.
+    Await,
+    /// Answer with a refusal.
+    Refuse {
+        /// Why.
+        refusal: Refusal,
+        /// Whether the request has run.
+        outcome: Outcome,
+        /// When to try again.
+        retry_after: Option<Span>,
+    },
+}
+
+/// Where a request is to go.
+#[derive(Debug)]
+pub struct Target {
+    /// The call's mark.
+    pub token: u64,
+    /// The call.
+    pub call: key::Call,
+    /// The exchange.
+    pub exchange: key::Attempt,
+    /// The upstream.
+    pub upstream: key::Upstream,
+    /// Its identity.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// An idle connection to it.
+    pub link: Option<Link>,
+    /// When the call's time is over.
+    pub deadline: Instant,
+    /// When another upstream should be asked too.
+    pub slow: Option<Instant>,
+    /// What decided it.
+    pub why: Why,
+}
+
+/// The state of the task for operators.
+#[derive(Debug, serde::Serialize)]
+pub struct State {
+    /// The decisions.
+    pub engine: Dump,
+    /// Idle connections to upstreams.
+    pub idle: usize,
+}
+
+/// The way to the task.
+#[derive(Clone, Debug)]
+pub struct Way(mpsc::UnboundedSender<Message>);
+
+/// The task has ended.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+#[display("the node stops")]
+pub struct Gone;
+
+impl Way {
+    /// Makes the way and the end that the task keeps.
+    #[must_use]
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self(sender), receiver)
+    }
+
+    /// Sends a message; one that comes after the task's end has no meaning any more.
+    pub fn post(&self, message: Message) {
+        let _ = self.0.send(message);
+    }
+
+    /// Sends a message and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if the task has ended.
+    pub async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Result<T, Gone> {
+        let (reply, answer) = oneshot::channel();
+        self.post(message(reply));
+        answer.await.map_err(|_| Gone)
+    }
+}
+
+/// Ways to the other tasks.
+pub struct Ways<R: store::Registry> {
+    /// To the other nodes.
+    pub peers: Address<Peers>,
+    /// To the store.
+    pub contact: Address<Contact<R>>,
+    /// To the readers of the store.
+    pub watching: watch::Sender<bool>,
+    /// To the front, which keeps callers to the limits.
+    pub limits: watch::Sender<Limits>,
+}
+
+/// What another task is to do.
+enum Errand {
+    Deliver(Deliver),
+    Hail(Hail),
+    Learn(Learn),
+    End(End),
+}
+
+/// A request whose front waits for a directive.
+struct Waiting {
+    reply: oneshot::Sender<Directive>,
+    call: Option<key::Call>,
+}
+
+/// The task's state.
+pub struct Steer<R: store::Registry> {
+    engine: Engine,
+    dialect: Arc<Dialect>,
+    own: Way,
+    ways: Ways<R>,
+    idle: Idle,
+    waiting: BTreeMap<u64, Waiting>,
+    next: u64,
+    ticks: u32,
+    tick_at: Moment,
+    /// How far the clocks are apart, one of which counts suspensions.
+    apart: Span,
+    out: Vec<Output>,
+    errands: Vec<Errand>,
+}
+
+impl<R: store::Registry> Steer<R> {
+    /// Makes the task's state.
+    #[must_use]
+    pub fn new(engine: Engine, dialect: Arc<Dialect>, own: Way, ways: Ways<R>) -> Self {
+        let now = clock::now();
+        Self {
+            engine,
+            dialect,
+            own,
+            ways,
+            idle: Idle::default(),
+            waiting: BTreeMap::new(),
+            next: 0,
+            ticks: 0,
+            tick_at: now,
+            apart: now.since(clock::running()),
+            out: Vec::new(),
+            errands: Vec::new(),
+        }
+    }
+
+    /// Runs the task until the way to it is gone.
+    pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        loop {
+            let wake = self.engine.wake().map_or(self.tick_at, |wake| wake.min(self.tick_at));
+            tokio::select! {
+                biased;
+                message = messages.recv() => {
+                    let Some(message) = message else { return };
+                    self.check_clocks();
+                    self.handle(message);
+                }
+                () = tokio::time::sleep_until(clock::instant(wake)) => self.check_clocks(),
+            }
+            self.pass_time();
+            self.run_errands().await;
+        }
+    }
+
+    /// Lets the decisions know if the process stood still.
+    fn check_clocks(&mut self) {
+        let apart = clock::now().since(clock::running());
+        if apart.0 > (self.apart + SUSPENDED).0 {
+            self.feed(Input::Resumed);
+        }
+        self.apart = apart;
+    }
+
+    fn pass_time(&mut self) {
+        let now = clock::now();
+        if self.engine.wake().is_some_and(|wake| wake <= now) {
+            self.feed(Input::Wake);
+        }
+        if now < self.tick_at {
+            return;
+        }
+        self.tick_at = now + TICK;
+        self.feed(Input::Tick);
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(SWEEP_TICKS) {
+            self.idle.sweep(now);
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Place { request, reply } => self.place(request, reply),
+            Message::Sent(exchange) => {
+                self.feed(Input::Exchange { exchange, event: Event::Sent, report: None });
+            }
+            Message::Ended { token, exchange, event, report, reply } => {
+                self.wait(token, exchange, reply);
+                self.feed(Input::Exchange { exchange, event, report });
+            }
+            Message::Slow { token, call, reply } => {
+                self.waiting.insert(token, Waiting { reply, call: Some(call) });
+                self.feed(Input::Slow(call));
+            }
+            Message::Late { token, call, reply } => {
+                self.waiting.insert(token, Waiting { reply, call: Some(call) });
+                self.feed(Input::Late(call));
+            }
+            Message::Left(call) => self.feed(Input::Left(call)),
+            Message::Free(upstream, link) => {
+                if self.engine.upstream(upstream).is_some() {
+                    self.idle.put(clock::now(), upstream, link);
+                }
+            }
+            Message::Probed { upstream, health } => self.feed(Input::Probed { upstream, health }),
+            Message::Facts { kind, batch, asked_at } => {
+                self.feed(Input::Facts { kind, batch, asked_at });
+                self.ways.limits.send_if_modified(|limits| {
+                    let changed = *limits != self.engine.limits();
+                    *limits = self.engine.limits();
+                    changed
+                });
+            }
+            Message::Current { kind, at, asked_at } => {
+                self.feed(Input::Current { kind, at, asked_at });
+            }
+            Message::Written { trial, accepted } => self.feed(Input::Written { trial, accepted }),
+            Message::Peer { from, frame } => self.feed(Input::Peer { from, frame }),
+            Message::Leave => self.feed(Input::Leave),
+            question => self.answer(question),
+        }
+    }
+
+    /// Answers questions; who asked may have left meanwhile.
+    fn answer(&mut self, question: Message) {
+        let now = clock::now();
+        match question {
+            Message::Advise { domain, reply } => {
+                let _ = reply.send(self.engine.advise(now, domain.as_deref()));
+            }
+            Message::Ready(reply) => {
+                let _ = reply.send(self.engine.is_ready());
+            }
+            Message::Revision(kind, reply) => {
+                let _ = reply.send(self.engine.revision(kind));
+            }
+            Message::Inspect(reply) => {
+                let state = State { engine: self.engine.dump(now), idle: self.idle.len() };
+                let _ = reply.send(state);
+            }
+            _ => {}
+        }
+    }
+
+    fn place(&mut self, request: Request, reply: oneshot::Sender<Directive>) {
+        self.next += 1;
+        let token = self.next;
+        self.waiting.insert(token, Waiting { reply, call: None });
+        self.feed(Input::Request(Request { token, ..request }));
+    }
+
+    fn wait(&mut self, token: u64, exchange: key::Attempt, reply: oneshot::Sender<Directive>) {
+        match self.engine.call_of(exchange) {
+            Some(call) => {
+                self.waiting.insert(token, Waiting { reply, call: Some(call) });
+            }
+            // The call has ended meanwhile, so that no directive would come.
+            None => {
+                let _ = reply.send(Directive::Await);
+            }
+        }
+    }
+
+    fn feed(&mut self, input: Input) {
+        let mut out = std::mem::take(&mut self.out);
+        self.engine.input(clock::now(), input, &mut out);
+        let mut left = Vec::new();
+        for output in out.drain(..) {
+            left.extend(self.carry_out(output));
+        }
+        self.out = out;
+        for call in left {
+            self.feed(Input::Left(call));
+        }
+    }
+
+    /// Carries out one output; returns a call whose caller has left.
+    fn carry_out(&mut self, output: Output) -> Option<key::Call> {
+        match output {
+            Output::Begun { token, call } => {
+                if let Some(waiting) = self.waiting.get_mut(&token) {
+                    waiting.call = Some(call);
+                }
+            }
+            Output::Send { token, exchange, upstream, why } => {
+                return self.send(token, exchange, upstream, why);
+            }
+            Output::Pass { token } => return self.reply(token, Directive::Pass),
+            Output::Await { token } => return self.reply(token, Directive::Await),
+            Output::Refuse { token, refusal, outcome, retry_after } => {
+                return self.reply(token, Directive::Refuse { refusal, outcome, retry_after });
+            }
+            Output::Probe { upstream } => self.probe(upstream),
+            Output::Retire { upstream } => self.idle.retire(upstream),
+            Output::Frame { to, frame } => {
+                self.errands.push(Errand::Deliver(Deliver { to, frame }));
+            }
+            Output::Hail(frame) => self.errands.push(Errand::Hail(Hail(frame))),
+            Output::Address(member) => self.errands.push(Errand::Learn(Learn(member))),
+            Output::Watch(watching) => {
+                // The readers end only with the process.
+                let _ = self.ways.watching.send(watching);
+            }
+            Output::Write(order) => self.errands.push(Errand::End(End(order))),
+            Output::Note(note) => logs::value(Level::Warn, &note),
+        }
+        None
+    }
+
+    /// Sends what the other tasks are to do; their mailboxes are unbounded, so nothing waits.
+    async fn run_errands(&mut self) {
+        for errand in std::mem::take(&mut self.errands) {
+            let Ways { peers, contact, .. } = &self.ways;
+            // The actors end only with the process.
+            let _ = match errand {
+                Errand::Deliver(deliver) => peers.send(deliver).detach().await.map(drop),
+                Errand::Hail(hail) => peers.send(hail).detach().await.map(drop),
+                Errand::Learn(learn) => peers.send(learn).detach().await.map(drop),
+                Errand::End(end) => contact.send(end).detach().await.map(drop),
+            };
+        }
+    }
+
+    fn reply(&mut self, token: u64, directive: Directive) -> Option<key::Call> {
+        let waiting = self.waiting.remove(&token)?;
+        match waiting.reply.send(directive) {
+            Ok(()) => None,
+            Err(_) => waiting.call,
+        }
+    }
+
+    fn send(
+        &mut self,
+        token: u64,
+        exchange: key::Attempt,
+        upstream: key::Upstream,
+        why: Why,
+    ) -> Option<key::Call> {
+        let call = self.engine.call_of(exchange)?;
+        let (deadline, slow) = self.engine.times(call)?;
+        let known = self.engine.upstream(upstream)?.0;
+        let target = Target {
+            token,
+            call,
+            exchange,
+            upstream,
+            id: known.id.clone(),
+            address: known.address,
+            link: self.idle.take(clock::now(), upstream),
+            deadline: clock::instant(deadline),
+            slow: slow.map(clock::instant),
+            why,
+        };
+        self.reply(token, Directive::Send(Box::new(target)))
+    }
+
+    fn probe(&mut self, upstream: key::Upstream) {
+        let Some((known, path)) = self.engine.upstream(upstream) else { return };
+        let question = Question {
+            upstream,
+            id: known.id.clone(),
+            address: known.address,
+            path: path.to_owned(),
+            link: self.idle.take(clock::now(), upstream),
+        };
+        let (own, dialect) = (self.own.clone(), Arc::clone(&self.dialect));
+        tokio::spawn(async move { probe::ask(own, &dialect, question).await });
+    }
+}
+
+/// Time for which a node that leaves is still named to callers.
+#[must_use]
+pub fn forgotten_after(terms: &gateway::Terms) -> Duration {
+    Duration::from(terms.advice_time).min(Duration::from_millis(2_200))
+}
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -4,7 +4,8 @@
 
 use base::record;
 use derive_more::{Display, Error as StdError};
-use policy::message::Frame;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// Largest frame in bytes: a configuration of the largest size and what goes around it.
 pub const MOST_FRAME: usize = 1_048_576 + 1_024;
@@ -13,11 +14,11 @@
 
 record! {
     /// What goes over a stream.
-    pub enum Envelope {
+    pub enum Envelope<F> {
         /// The first frame of a stream.
         Hello(Hello),
         /// Every other frame.
-        Frame(Frame),
+        Frame(F),
     }
 
     /// Who sends.
@@ -61,7 +62,7 @@
 /// # Errors
 ///
 /// Returns an error if the frame is too large.
-pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, Error> {
+pub fn encode<F: Serialize>(envelope: &Envelope<F>) -> Result<Vec<u8>, Error> {
     let body = postcard::to_stdvec(envelope).map_err(|cause| Error::Malformed { cause })?;
     let size = body.len();
     let length = u32::try_from(size).ok().filter(|_| size <= MOST_FRAME);
@@ -76,7 +77,7 @@
 /// # Errors
 ///
 /// Returns an error if the bytes are not exactly one envelope.
-pub fn decode(bytes: &[u8]) -> Result<Envelope, Error> {
+pub fn decode<F: DeserializeOwned>(bytes: &[u8]) -> Result<Envelope<F>, Error> {
     let taken = postcard::take_from_bytes(bytes);
     let (envelope, rest) = taken.map_err(|cause| Error::Malformed { cause })?;
     match rest.len() {
--- a/crates/peer/src/keys.rs
+++ b/crates/peer/src/keys.rs
@@ -7,10 +7,12 @@
 use quinn::crypto::rustls::{NoInitialCipherSuite, QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
-use rustls::RootCertStore;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::CryptoProvider;
 use rustls::pki_types::pem::{Error as PemError, PemObject};
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::{VerifierBuilderError, WebPkiClientVerifier};
+use rustls::{DigitallySignedStruct, RootCertStore, SignatureScheme};
 
 /// The name that every member's certificate carries.
 pub const NAME: &str = "member.nutmegwharf";
@@ -74,18 +76,52 @@
         let verifier =
             WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(&provider))
                 .build()?;
-        let mut server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+        let server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
             .with_protocol_versions(&[&rustls::version::TLS13])?
             .with_client_cert_verifier(verifier)
             .with_single_cert(chain.clone(), key()?)?;
-        server.alpn_protocols = vec![PROTOCOL.to_vec()];
 
-        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+        let client = rustls::ClientConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])?
             .with_root_certificates(roots)
             .with_client_auth_cert(chain, key()?)?;
-        client.alpn_protocols = vec![PROTOCOL.to_vec()];
+        Self::assemble(server, client)
+    }
+}
+
+impl Keys {
+    /// Makes keys with which members encrypt what they tell each other without proof of who they
+    /// are, for networks that only members reach.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a key cannot be made.
+    pub fn anonymous() -> Result<Self, Error> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let key = KeyPair::generate()?;
+        let certificate = CertificateParams::new(vec![NAME.to_owned()])?.self_signed(&key)?;
+        let chain = vec![certificate.der().clone()];
+        let key = PrivateKeyDer::Pkcs8(key.serialize_der().into());
+        let versions = &[&rustls::version::TLS13];
+
+        let server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(versions)?
+            .with_no_client_auth()
+            .with_single_cert(chain, key)?;
+        let client = rustls::ClientConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(versions)?
+            .dangerous()
+            .with_custom_certificate_verifier(Arc::new(Anyone(provider)))
+            .with_no_client_auth();
+        Self::assemble(server, client)
+    }
 
+    fn assemble(
+        mut server: rustls::ServerConfig,
+        mut client: rustls::ClientConfig,
+    ) -> Result<Self, Error> {
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
+        client.alpn_protocols = vec![PROTOCOL.to_vec()];
         let transport = Arc::new(transport());
         let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
         server.transport_config(Arc::clone(&transport));
@@ -95,6 +131,47 @@
     }
 }
 
+/// Trusts whatever certificate a member shows, as long as it holds its key.
+#[derive(Debug)]
+struct Anyone(Arc<CryptoProvider>);
+
+impl ServerCertVerifier for Anyone {
+    fn verify_server_cert(
+        &self,
+        _: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: &ServerName<'_>,
+        _: &[u8],
+        _: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls12_signature(message, certificate, signature, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, certificate, signature, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
+
 fn transport() -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,6 +3,7 @@
 mod codec;
 mod keys;
 mod link;
+pub mod mesh;
 
 pub use codec::{Envelope, Error as CodecError, Hello, MOST_FRAME, decode, encode};
 pub use keys::{Error as KeyError, Keys, Material, issue};
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,6 +4,7 @@
 
 use derive_more::{Display, Error as StdError, From};
 use quinn::{Connection, Endpoint, ReadExactError, RecvStream, SendStream};
+use serde::de::DeserializeOwned;
 
 use crate::codec::{self, Envelope, Hello, MOST_FRAME, VERSION};
 use crate::keys::{Keys, NAME};
@@ -75,7 +76,7 @@
         let connection = endpoint.connect(address, NAME)?.await?;
         let stream = connection.open_uni().await?;
         let mut outgoing = Self { connection, stream };
-        let hello = Envelope::Hello(Hello { version: VERSION, ident, address: own });
+        let hello: Envelope<()> = Envelope::Hello(Hello { version: VERSION, ident, address: own });
         outgoing.send(&codec::encode(&hello)?).await?;
         Ok(outgoing)
     }
@@ -115,7 +116,7 @@
     pub async fn accept(incoming: quinn::Incoming) -> Result<Self, Error> {
         let connection = incoming.await?;
         let mut stream = connection.accept_uni().await?;
-        let (envelope, _) = receive(&mut stream).await?;
+        let (envelope, _) = receive::<()>(&mut stream).await?;
         let Envelope::Hello(hello) = envelope else { return Err(Error::Greeting) };
         if hello.version != VERSION {
             return Err(Error::Version { found: hello.version });
@@ -128,12 +129,14 @@
     /// # Errors
     ///
     /// Returns an error if the connection ends or carries something else.
-    pub async fn receive(&mut self) -> Result<(Envelope, usize), Error> {
+    pub async fn receive<F: DeserializeOwned>(&mut self) -> Result<(Envelope<F>, usize), Error> {
         receive(&mut self.stream).await
     }
 }
 
-async fn receive(stream: &mut RecvStream) -> Result<(Envelope, usize), Error> {
+async fn receive<F: DeserializeOwned>(
+    stream: &mut RecvStream,
+) -> Result<(Envelope<F>, usize), Error> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await?;
     let size = usize::try_from(u32::from_le_bytes(length)).unwrap_or(usize::MAX);
--- /dev/null
+++ b/crates/peer/src/mesh.rs
@@ -0,0 +1,114 @@
+//! Tasks that write frames to one peer and read those of all.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quinn::Endpoint;
+use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::codec::{Envelope, Hello};
+use crate::link::{Incoming, Outgoing};
+
+/// Time to open a connection.
+const OPEN_TIME: Duration = Duration::from_secs(2);
+/// Pause after a connection that could not be opened.
+const OPEN_PAUSE: Duration = Duration::from_millis(300);
+/// Connections that peers may have open.
+const MOST_INCOMING: usize = 1_024;
+
+/// Writes frames to one peer, opening a connection whenever there is none.
+///
+/// Ends when the way to it is dropped.
+pub async fn write(
+    endpoint: Endpoint,
+    address: SocketAddr,
+    me: u64,
+    own: SocketAddr,
+    mut frames: mpsc::Receiver<Vec<u8>>,
+) {
+    let mut link: Option<Outgoing> = None;
+    while let Some(frame) = frames.recv().await {
+        let mut open = match link.take() {
+            Some(open) => open,
+            None => match timeout(OPEN_TIME, Outgoing::open(&endpoint, address, me, own)).await {
+                Ok(Ok(open)) => open,
+                Ok(Err(error)) => {
+                    log::debug!("event=peer_unreachable peer={address} error=\"{error}\"");
+                    tokio::time::sleep(OPEN_PAUSE).await;
+                    drain(&mut frames);
+                    continue;
+                }
+                Err(_) => {
+                    log::debug!("event=peer_silent peer={address}");
+                    drain(&mut frames);
+                    continue;
+                }
+            },
+        };
+        match timeout(OPEN_TIME, open.send(&frame)).await {
+            Ok(Ok(())) => link = Some(open),
+            Ok(Err(error)) => log::debug!("event=peer_lost peer={address} error=\"{error}\""),
+            Err(_) => log::debug!("event=peer_blocked peer={address}"),
+        }
+    }
+}
+
+/// Drops frames that were meant for a moment that has passed.
+fn drain(frames: &mut mpsc::Receiver<Vec<u8>>) {
+    while frames.try_recv().is_ok() {}
+}
+
+/// Accepts connections of peers and passes on their frames, each with its size in bytes.
+///
+/// `sink` returns whether it takes more frames.
+pub async fn accept<F, R>(
+    endpoint: Endpoint,
+    sink: impl Fn(Hello, F, usize) -> R + Clone + Send + 'static,
+) where
+    F: DeserializeOwned + Send + 'static,
+    R: Future<Output = bool> + Send + 'static,
+{
+    let mut readers = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = readers.join_next() => {}
+            incoming = endpoint.accept(), if readers.len() < MOST_INCOMING => {
+                let Some(incoming) = incoming else { return };
+                readers.spawn(read(incoming, sink.clone()));
+            }
+        }
+    }
+}
+
+async fn read<F: DeserializeOwned, R: Future<Output = bool>>(
+    incoming: quinn::Incoming,
+    sink: impl Fn(Hello, F, usize) -> R,
+) {
+    let mut incoming = match timeout(OPEN_TIME, Incoming::accept(incoming)).await {
+        Ok(Ok(incoming)) => incoming,
+        Ok(Err(error)) => {
+            log::warn!("event=peer_refused error=\"{error}\"");
+            return;
+        }
+        Err(_) => return,
+    };
+    let hello = incoming.hello;
+    loop {
+        match incoming.receive().await {
+            Ok((Envelope::Frame(frame), size)) => {
+                if !sink(hello, frame, size).await {
+                    return;
+                }
+            }
+            Ok((Envelope::Hello(_), _)) => {}
+            Err(error) => {
+                log::debug!("event=peer_ended peer={} error=\"{error}\"", hello.address);
+                return;
+            }
+        }
+    }
+}
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -5,7 +5,7 @@
 use policy::message::{Frame, Message};
 use proptest::prelude::*;
 
-fn ask() -> Envelope {
+fn ask() -> Envelope<Frame> {
     Envelope::Frame(Frame::Message(Message::Ask { upstream: 1, serial: 2 }))
 }
 
@@ -20,8 +20,8 @@
 fn decode_refuses_what_follows() {
     let mut bytes = encode(&ask()).expect("encodes")[4..].to_vec();
     bytes.push(0);
-    assert_eq!(decode(&bytes), Err(CodecError::Trailing { left: 1 }));
-    assert!(decode(&bytes[..2]).is_err());
+    assert_eq!(decode::<Frame>(&bytes), Err(CodecError::Trailing { left: 1 }));
+    assert!(decode::<Frame>(&bytes[..2]).is_err());
     let large = Envelope::Frame(Frame::Config(vec![0; peer::MOST_FRAME]));
     assert!(matches!(encode(&large), Err(CodecError::TooLarge { .. })));
 }
@@ -37,7 +37,7 @@
     #[test]
     fn decode_any_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         // Whatever comes, the answer is a frame or an error, and a frame reads back the same.
-        if let Ok(envelope) = decode(&bytes) {
+        if let Ok(envelope) = decode::<Frame>(&bytes) {
             let again = encode(&envelope).expect("encodes");
             prop_assert_eq!(decode(&again[4..]), Ok(envelope));
         }
--- /dev/null
+++ b/crates/store/src/caller.rs
@@ -0,0 +1,120 @@
+//! One connection to the store, and one call at a time on it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::MOST_BYTES;
+use crate::error::{Error, Part};
+
+/// A request with its whole body.
+pub type Outgoing = Request<Full<Bytes>>;
+
+/// Silence on a connection after which the other end is asked whether it is there.
+const ALIVE_AFTER: Duration = Duration::from_millis(1_000);
+/// Time between such questions.
+const ALIVE_EVERY: Duration = Duration::from_millis(1_000);
+/// Such questions without an answer after which the connection is given up.
+const ALIVE_TRIES: u32 = 2;
+
+/// A client that keeps one connection and makes one call at a time.
+#[derive(Debug)]
+pub struct Caller {
+    address: SocketAddr,
+    patience: Duration,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Caller {
+    /// Makes a client of the store at `address` that waits at most `patience` for an answer.
+    #[must_use]
+    pub fn new(address: SocketAddr, patience: Duration) -> Self {
+        Self { address, patience, sender: None }
+    }
+
+    /// Returns the store's address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes one call; `extra` is the time that the store itself may wait with its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer comes in time.
+    pub async fn call(
+        &mut self,
+        request: Outgoing,
+        extra: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let patience = self.patience + extra;
+        match timeout(patience, self.exchange(request)).await {
+            Ok(result) => result,
+            Err(_) => {
+                // The late answer must not be taken for the next one.
+                self.sender = None;
+                let millis = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
+                Err(Error::Timeout { millis })
+            }
+        }
+    }
+
+    async fn exchange(&mut self, request: Outgoing) -> Result<Response<Bytes>, Error> {
+        let mut sender = match self.sender.take() {
+            Some(sender) if sender.is_ready() => sender,
+            _ => connect(self.address).await?,
+        };
+        let response = send(&mut sender, request).await?;
+        self.sender = Some(sender);
+        Ok(response)
+    }
+}
+
+/// Makes one exchange on a connection of its own, with a bound on the answer's size.
+///
+/// # Errors
+///
+/// Returns an error if no whole answer comes in time.
+pub async fn exchange(
+    address: SocketAddr,
+    request: Outgoing,
+    patience: Duration,
+) -> Result<Response<Bytes>, Error> {
+    Caller::new(address, patience).call(request, Duration::ZERO).await
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Error> {
+    let unreachable = |cause| Error::Unreachable { cause };
+    let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+    let alive = TcpKeepalive::new().with_time(ALIVE_AFTER).with_interval(ALIVE_EVERY);
+    let alive = alive.with_retries(ALIVE_TRIES);
+    // A connection may go silent while a watch waits on it.
+    SockRef::from(&stream).set_tcp_keepalive(&alive).map_err(unreachable)?;
+    stream.set_nodelay(true).map_err(unreachable)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|cause| Error::Broken { cause })?;
+    // The connection's task owns the socket and ends with it.
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+async fn send(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Outgoing,
+) -> Result<Response<Bytes>, Error> {
+    let broken = |cause| Error::Broken { cause };
+    sender.ready().await.map_err(broken)?;
+    let (head, body) = sender.send_request(request).await.map_err(broken)?.into_parts();
+    let body = Limited::new(body, 2 * MOST_BYTES).collect().await;
+    let body = body.map_err(|_| Error::Answer { part: Part::Body })?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -29,6 +29,9 @@
         /// The version found.
         found: u64,
     },
+    /// The store has forgotten the history that was asked for.
+    #[display("store has forgotten that part of its history")]
+    Compacted,
     /// The answer has an unexpected status.
     #[display("store answered with status {status}")]
     Status {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,13 +1,17 @@
 //! The platform's object store: a small trait and its client over HTTP.
 
+mod caller;
 mod error;
 mod http;
+mod registry;
 
 use std::future::Future;
 use std::time::Duration;
 
-pub use error::Error;
-pub use http::{Http, exchange};
+pub use caller::{Caller, Outgoing, exchange};
+pub use error::{Error, Part};
+pub use http::Http;
+pub use registry::{Listing, Registry};
 
 /// Largest value that the store holds, in bytes.
 pub const MOST_BYTES: usize = 1_048_576;
