Let only leads of domains talk across domains, and two of them watch the store

Ruled out: requests and probes, which together cross for less than 4 MB. Change: within a domain all nodes hear each other, between domains their leads; leads of two domains watch the store; a proof ages with its way and every node watches itself once it is 1.55 s old. Cold upstreams get requests from nodes of their own domain only, each by a fixed share.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -1,39 +1,62 @@
 //! Requests to upstreams in a cold start, bounded in sum without agreement.
 //!
-//! A cold upstream has a set of senders, drawn by rendezvous hashing so that every node draws
-//! nearly the same. Each sender sends at most one request in [`PACE`]. The set is so small that
-//! two nodes with wholly different views still keep the sum within the bound.
+//! Only the nodes of an upstream's own failure domain send it requests while it is cold. Each has
+//! a share that follows from how many such nodes are known, heard or not, so that nodes that are
+//! cut off from each other keep the same sum. A node that has just started sends nothing for the
+//! length of the window, as its process before may have used the share.
+
+use std::collections::VecDeque;
 
 use base::hash::mix;
 use base::prelude::*;
 
 use crate::Terms;
 
-/// Time between two requests of one sender; above the second over which the sum is taken.
-pub const PACE: Span = Span::millis(1_060);
-
-/// Returns how many nodes may send to a cold upstream that bears `rate` requests a second.
-#[must_use]
-pub fn senders(terms: &Terms, rate: f64) -> usize {
-    let bound = rate * terms.cold_factor + terms.cold_slack;
-    let most = rate.min(bound / 2.0).floor();
-    (most.max(1.0)) as usize
-}
+/// Length over which the sum is taken, and a margin for requests on their way.
+pub const WINDOW: Span = Span::millis(1_060);
+/// Part of the bound that is shared out; nodes that are not known yet take the rest.
+const PART: f64 = 0.7;
 
-/// Tells whether `me` is among the `count` senders of an upstream.
+/// Returns how many requests a window a node may send to a cold upstream.
 ///
-/// Nodes in the upstream's failure domain come first; they are those whose identity is in `near`.
+/// `rate` is what the upstream bears a second, `nodes` are those of its failure domain.
 #[must_use]
-pub fn is_sender(
+pub fn share(
+    terms: &Terms,
+    rate: f64,
     me: u64,
     upstream: u64,
-    count: usize,
-    nodes: impl Iterator<Item = (u64, bool)>,
-) -> bool {
-    let rank = |ident: u64, near: bool| (!near, mix(upstream ^ mix(ident)));
-    let all: Vec<_> = nodes.map(|(ident, near)| (ident, rank(ident, near))).collect();
-    let Some(own) = all.iter().find(|(ident, _)| *ident == me).map(|(_, rank)| *rank) else {
-        return false;
-    };
-    all.iter().filter(|(_, rank)| *rank < own).count() < count
+    nodes: impl Iterator<Item = u64>,
+) -> usize {
+    let bound = rate * terms.cold_factor + terms.cold_slack;
+    let all = rate.min(bound * PART).max(1.0) as usize;
+    let rank = |ident: u64| mix(upstream ^ mix(ident));
+    let mut ranked: Vec<u64> = nodes.map(rank).collect();
+    ranked.sort_unstable();
+    let Some(position) = ranked.iter().position(|one| *one == rank(me)) else { return 0 };
+    let each = all / ranked.len();
+    // What cannot be shared evenly goes to the first ones.
+    each + usize::from(position < all % ranked.len())
+}
+
+record! {
+    /// When a node sent its last requests to a cold upstream.
+    #[derive(Default)]
+    pub struct Sends {
+        times: VecDeque<Moment>,
+    }
+}
+
+impl Sends {
+    /// Tells whether one more request fits into a share.
+    #[must_use]
+    pub fn fits(&self, now: Moment, share: usize) -> bool {
+        self.times.iter().filter(|at| now.since(**at) < WINDOW).count() < share
+    }
+
+    /// Counts a request.
+    pub fn count(&mut self, now: Moment) {
+        self.times.retain(|at| now.since(*at) < WINDOW);
+        self.times.push_back(now);
+    }
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -240,6 +240,7 @@
     watching: bool,
     watch_until: Moment,
     beat_at: Moment,
+    beat_away_at: Moment,
     hailed_at: Option<Moment>,
     leaving: bool,
     tallies: BTreeMap<u64, trials::Ledger>,
@@ -282,9 +283,10 @@
             members: Members::new(own),
             suspects: Suspects::default(),
             accused: SecondaryMap::new(),
-            watching: true,
+            watching: false,
             watch_until: now,
             beat_at: now,
+            beat_away_at: now,
             hailed_at: None,
             leaving: false,
             tallies: BTreeMap::new(),
@@ -378,7 +380,6 @@
     fn resume(&mut self, now: Moment, out: &mut Vec<Output>) {
         for upstream in self.upstreams.values_mut() {
             upstream.step(&self.charts.upstream, now, crate::upstream::Event::Stale);
-            upstream.cold_sent = Some(now);
         }
         for view in self.views.values_mut() {
             view.proven_at = None;
--- a/crates/gateway/src/engine/advise.rs
+++ b/crates/gateway/src/engine/advise.rs
@@ -28,12 +28,12 @@
     #[must_use]
     pub fn advise(&self, now: Moment, domain: Option<&str>) -> Advice {
         let own = &self.members.own;
-        let mut all: Vec<(&str, SocketAddr)> = self
-            .members
-            .live(now)
-            .filter(|(_, peer)| peer.ready)
-            .map(|(_, peer)| (peer.member.domain.as_str(), peer.member.caller))
-            .collect();
+        let near = self.members.near(now).filter(|(_, peer)| peer.ready);
+        let away = self.members.live_away(now).filter(|live| live.ready);
+        let away = away.filter_map(|live| self.members.get(live.ident));
+        let members = near.map(|(_, peer)| peer).chain(away).map(|peer| &peer.member);
+        let mut all: Vec<(&str, SocketAddr)> =
+            members.map(|member| (member.domain.as_str(), member.caller)).collect();
         if !self.leaving && (self.is_ready() || all.is_empty()) {
             all.push((own.domain.as_str(), own.caller));
         }
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -261,17 +261,13 @@
     /// Tells whether this node may send a request to a cold upstream now.
     fn may_send_cold(&self, now: Moment, key: key::Upstream) -> bool {
         let upstream = &self.upstreams[key];
-        let service = &self.services[upstream.service];
-        let last = upstream.cold_sent.max(upstream.sent_at).unwrap_or(self.started_at);
-        if now.since(last) < cold::PACE || now.since(self.started_at) < cold::PACE {
+        if upstream.domain != self.home || now.since(self.started_at) < cold::WINDOW {
             return false;
         }
-        let count = cold::senders(&self.terms, service.cold_rate);
-        let domain = self.domains[upstream.domain].name.as_str();
-        let others = self.members.live(now);
-        let others = others.map(|(ident, peer)| (ident, peer.member.domain == domain));
-        let own = (self.members.me(), self.members.own.domain == domain);
-        cold::is_sender(self.members.me(), upstream.ident, count, others.chain([own]))
+        let rate = self.services[upstream.service].cold_rate;
+        let nodes = self.members.known_in(&self.members.own.domain);
+        let share = cold::share(&self.terms, rate, self.members.me(), upstream.ident, nodes);
+        upstream.sends.fits(now, share)
     }
 
     /// Orders an exchange.
@@ -295,11 +291,8 @@
         };
         let pace = upstream.gauge.pace(now);
         upstream.gauge.own += 1;
-        upstream.sent_at = Some(now);
-        if chosen.cold {
-            upstream.cold_sent = Some(now);
-            self.stats.cold_sends += 1;
-        }
+        upstream.sends.count(now);
+        self.stats.cold_sends += u64::from(chosen.cold);
         let exchange = self.exchanges.insert(Exchange {
             call: key,
             upstream: chosen.upstream,
--- a/crates/gateway/src/engine/dump.rs
+++ b/crates/gateway/src/engine/dump.rs
@@ -88,8 +88,11 @@
     /// Returns the state for operators.
     #[must_use]
     pub fn dump(&self, now: Moment) -> Dump {
-        let members = self.members.peers();
-        let members = members.map(|(_, peer)| (peer.member.name.clone(), peer.is_live(now)));
+        let away: Vec<u64> = self.members.live_away(now).map(|live| live.ident).collect();
+        let members = self.members.peers().map(|(ident, peer)| {
+            let live = peer.is_live(now) || away.contains(&ident);
+            (peer.member.name.clone(), live)
+        });
         let upstreams = self.upstreams.values().map(|one| (one.id.clone(), self.row(now, one)));
         let trials = self.services.values().filter_map(|service| {
             let trial = service.trial.as_ref()?;
--- a/crates/gateway/src/engine/peers.rs
+++ b/crates/gateway/src/engine/peers.rs
@@ -5,38 +5,57 @@
 
 use super::{Engine, Note, Output};
 use crate::message::{Beat, Frame, Proof};
-use crate::trial;
 
-/// Time between signs of life.
+/// Time between signs of life of a node within its domain.
 const BEAT: Span = Span::millis(700);
-/// The same while this node watches the store or a trial goes on.
-const BEAT_WATCHING: Span = Span::millis(300);
-/// Time between greetings to the addresses of the settings while no other node is heard.
+/// The same of a lead, which passes on how current the facts are.
+const BEAT_LEAD: Span = Span::millis(300);
+/// Time between signs of life among leads.
+const BEAT_AWAY: Span = Span::millis(400);
+/// Time between greetings to the addresses of the settings while no other node is known.
 const HAIL: Span = Span::seconds(1);
 /// Age of the newest proof from which on a node watches the store itself.
-const PROOF_OLD: Span = Span::millis(1_500);
-/// Time for which a node goes on watching once it does.
+const PROOF_OLD: Span = Span::millis(1_550);
+/// Time for which a node goes on watching once nobody else seemed to.
 const WATCH_LEAST: Span = Span::seconds(2);
+/// Time after the start in which nodes find each other before any of them watches.
+const MEET: Span = Span::millis(500);
 
 impl Engine {
     /// Takes in a frame of another node.
     pub(super) fn hear(&mut self, now: Moment, from: u64, frame: Frame, out: &mut Vec<Output>) {
         match frame {
-            Frame::Beat(beat) => self.hear_beat(now, beat, out),
+            Frame::Join { member, beat } => {
+                self.learn(&member, out);
+                self.hear_beat(now, member.ident(), beat, out);
+            }
+            Frame::Beat(beat) => self.hear_beat(now, from, beat, out),
             Frame::Members(members) => {
                 for member in members {
                     self.learn(&member, out);
                 }
-                self.greet(now, out);
+            }
+            Frame::Ask => self.tell_members(from, out),
+            Frame::Lead(member) => {
+                self.learn(&member, out);
+                self.members.note_lead(member.ident());
             }
             Frame::Facts { kind, batch } => {
                 // A gap shows in the next beat's proofs, which leads to a fetch.
-                let _ = self.take_facts(now, kind, &batch, out);
+                let taken = self.take_facts(now, kind, &batch, out);
+                if taken.is_ok_and(|delta| delta != Default::default()) {
+                    self.pass_on(now, from, &Frame::Facts { kind, batch }, out);
+                }
             }
             Frame::Fetch { kind } => self.fetched(from, kind, out),
-            Frame::Evidence { trial, rows } => self.hear_evidence(trial, &rows, from),
+            Frame::Evidence { trial, witness, rows } => {
+                self.hear_evidence(now, trial, witness, rows, out);
+            }
             Frame::Suspect { digest, generation, victim } => {
-                self.suspects.hear(now, digest, generation, victim);
+                if self.suspects.hear(now, digest, generation, victim) {
+                    let frame = Frame::Suspect { digest, generation, victim };
+                    self.pass_on(now, from, &frame, out);
+                }
             }
         }
     }
@@ -49,34 +68,69 @@
         }
     }
 
-    fn hear_beat(&mut self, now: Moment, beat: Beat, out: &mut Vec<Output>) {
-        let ident = beat.member.ident();
-        if ident == self.members.me() {
-            return;
-        }
-        let unknown = self.learn(&beat.member, out);
-        let Some(peer) = self.members.get_mut(ident) else { return };
-        let fresh = !peer.is_live(now) || peer.process != beat.process;
+    fn tell_members(&self, to: u64, out: &mut Vec<Output>) {
+        let peers = self.members.peers().map(|(_, peer)| peer.member.clone());
+        let known = peers.chain([self.members.own.clone()]).collect();
+        out.push(Output::Frame { to, frame: Frame::Members(known) });
+    }
+
+    fn hear_beat(&mut self, now: Moment, from: u64, beat: Beat, out: &mut Vec<Output>) {
+        let Some(near) = self.members.is_near(from) else {
+            // Its name comes with the answer.
+            return out.push(Output::Frame { to: from, frame: Frame::Ask });
+        };
+        let Some(peer) = self.members.get_mut(from) else { return };
+        let anew = peer.process != beat.process;
+        let fresh = anew || !peer.is_live(now);
+        let renewed = anew && peer.process != 0;
         peer.heard_at = Some(now);
         peer.greeted_at = None;
         peer.process = beat.process;
         peer.leaving = beat.leaving;
         peer.ready = beat.ready;
-        if fresh && !beat.leaving {
-            out.push(Output::Note(Note::Member { name: beat.member.name.clone(), live: true }));
-            let reply = Frame::Beat(self.own_beat(now));
-            out.push(Output::Frame { to: ident, frame: reply });
+        let member = peer.member.clone();
+        if renewed {
+            out.push(Output::Address(member.clone()));
+        }
+        if fresh && near && !beat.leaving {
+            out.push(Output::Note(Note::Member { name: member.name, live: true }));
+            self.join(now, from, out);
+        }
+        if near {
+            for digest in beat.domains.iter().filter(|_| beat.lead) {
+                self.members.hear_digest(now, digest);
+            }
+        } else if beat.lead {
+            let live = beat.domains.into_iter().next().map(|digest| digest.live);
+            self.members.hear_lead(now, from, live.unwrap_or_default());
         }
-        if unknown {
-            let known = self.members.peers().map(|(_, peer)| peer.member.clone()).collect();
-            out.push(Output::Frame { to: ident, frame: Frame::Members(known) });
+        self.ask_for_unknown(now, from, out);
+        if !near && !self.members.is_lead(now) {
+            self.tell_lead(now, from, out);
         }
-        self.hear_proofs(now, ident, &beat.proofs, out);
+        self.hear_proofs(now, from, &beat.proofs, out);
         for progress in &beat.trials {
             self.hear_progress(now, progress, out);
         }
     }
 
+    /// Asks who the nodes are that another domain names and this node does not know.
+    fn ask_for_unknown(&mut self, now: Moment, from: u64, out: &mut Vec<Output>) {
+        let me = self.members.me();
+        let known = |ident| ident == me || self.members.get(ident).is_some();
+        if self.members.live_away(now).any(|live| !known(live.ident)) {
+            out.push(Output::Frame { to: from, frame: Frame::Ask });
+        }
+    }
+
+    /// Tells a lead of another domain who leads this one.
+    fn tell_lead(&self, now: Moment, to: u64, out: &mut Vec<Output>) {
+        let lead = self.members.get(self.members.lead(now));
+        if let Some(member) = lead.map(|peer| peer.member.clone()) {
+            out.push(Output::Frame { to, frame: Frame::Lead(member) });
+        }
+    }
+
     /// Takes in how current another node is, and fetches what it knows and this one does not.
     fn hear_proofs(&mut self, now: Moment, from: u64, proofs: &[Proof], out: &mut Vec<Output>) {
         for proof in proofs {
@@ -91,7 +145,7 @@
         }
     }
 
-    /// Learns of a member; returns whether it or its address was not known.
+    /// Learns of a node; returns whether it or its address was not known.
     pub(super) fn learn(&mut self, member: &Member, out: &mut Vec<Output>) -> bool {
         let learned = self.members.learn(member);
         if learned {
@@ -100,67 +154,136 @@
         learned
     }
 
-    /// Greets members that are silent.
-    fn greet(&mut self, now: Moment, out: &mut Vec<Output>) {
-        for ident in self.members.greet(now) {
-            let frame = Frame::Beat(self.own_beat(now));
-            out.push(Output::Frame { to: ident, frame });
-        }
+    /// Tells a node who this one is.
+    fn join(&mut self, now: Moment, to: u64, out: &mut Vec<Output>) {
+        let beat = self.own_beat(now, true);
+        let frame = Frame::Join { member: self.members.own.clone(), beat };
+        out.push(Output::Frame { to, frame });
     }
 
-    fn own_beat(&self, now: Moment) -> Beat {
+    /// Makes a sign of life, for the own domain or for another one.
+    fn own_beat(&self, now: Moment, near: bool) -> Beat {
         let proofs = self.views.iter().filter_map(|(kind, view)| {
             let age = now.since(view.proven_at?);
             Some(Proof { kind: *kind, at: view.at, changed: view.changed, age })
         });
+        let lead = !self.leaving && self.members.is_lead(now);
+        let domains = match (lead, near) {
+            (false, _) => Vec::new(),
+            (true, true) => self.members.digests(now).collect(),
+            (true, false) => {
+                vec![self.members.own_digest(now, self.is_ready(), self.leaving)]
+            }
+        };
         Beat {
-            member: self.members.own.clone(),
             process: self.process,
             leaving: self.leaving,
             ready: self.is_ready(),
+            lead,
+            domains,
             proofs: proofs.collect(),
             trials: self.progress(now),
         }
     }
 
-    /// Sends a frame to every live member.
+    /// Sends a frame to every node: to this domain, and through its lead to the others.
     pub(super) fn tell_all(&self, now: Moment, frame: &Frame, out: &mut Vec<Output>) {
-        for (to, _) in self.members.live(now) {
+        self.tell_near(now, frame, out);
+        if self.members.is_lead(now) {
+            self.tell_leads(now, frame, out);
+        }
+    }
+
+    /// Passes on what another node tells all.
+    fn pass_on(&self, now: Moment, from: u64, frame: &Frame, out: &mut Vec<Output>) {
+        if !self.members.is_lead(now) {
+            return;
+        }
+        let own = self.members.own.domain.as_str();
+        match self.members.get(from) {
+            Some(peer) if peer.member.domain == own => self.tell_leads(now, frame, out),
+            _ => self.tell_near(now, frame, out),
+        }
+    }
+
+    fn tell_near(&self, now: Moment, frame: &Frame, out: &mut Vec<Output>) {
+        for (to, _) in self.members.near(now) {
             out.push(Output::Frame { to, frame: frame.clone() });
         }
     }
 
-    /// Tells every live member how this node is.
+    fn tell_leads(&self, now: Moment, frame: &Frame, out: &mut Vec<Output>) {
+        for to in self.members.leads(now) {
+            out.push(Output::Frame { to, frame: frame.clone() });
+        }
+    }
+
+    /// Tells this domain how this node is, and the other leads if this is one.
     pub(super) fn beat(&mut self, now: Moment, out: &mut Vec<Output>) {
-        let urgent = self.watching || self.progress(now).iter().any(is_open);
-        self.beat_at = now + if urgent { BEAT_WATCHING } else { BEAT };
-        let frame = Frame::Beat(self.own_beat(now));
-        self.tell_all(now, &frame, out);
+        self.beat_near(now, out);
+        self.beat_away(now, out);
+    }
+
+    fn beat_near(&mut self, now: Moment, out: &mut Vec<Output>) {
+        let lead = self.members.is_lead(now);
+        self.beat_at = now + if lead || self.watching { BEAT_LEAD } else { BEAT };
+        let frame = Frame::Beat(self.own_beat(now, true));
+        self.tell_near(now, &frame, out);
+    }
+
+    fn beat_away(&mut self, now: Moment, out: &mut Vec<Output>) {
+        self.beat_away_at = now + BEAT_AWAY;
+        if self.members.is_lead(now) {
+            let frame = Frame::Beat(self.own_beat(now, false));
+            self.tell_leads(now, &frame, out);
+        }
     }
 
     pub(super) fn beat_if_due(&mut self, now: Moment, out: &mut Vec<Output>) {
-        self.greet(now, out);
+        if self.leaving {
+            return;
+        }
+        for ident in self.members.greet(now) {
+            self.join(now, ident, out);
+        }
+        if self.members.is_lead(now) && now.since(self.started_at) >= MEET {
+            for to in self.members.seek(now) {
+                let beat = self.own_beat(now, false);
+                let frame = Frame::Join { member: self.members.own.clone(), beat };
+                out.push(Output::Frame { to, frame });
+            }
+        }
         if now >= self.beat_at {
-            self.beat(now, out);
+            self.beat_near(now, out);
+        }
+        if now >= self.beat_away_at {
+            self.beat_away(now, out);
         }
-        let alone = self.members.live(now).next().is_none();
-        let due = self.hailed_at.is_none_or(|at| now.since(at) >= HAIL);
-        if alone && due && !self.leaving {
+        self.hail_if_alone(now, out);
+    }
+
+    fn hail_if_alone(&mut self, now: Moment, out: &mut Vec<Output>) {
+        let alone = self.members.known() == 1 && now.since(self.started_at) >= MEET;
+        if alone && self.hailed_at.is_none_or(|at| now.since(at) >= HAIL) {
             self.hailed_at = Some(now);
-            out.push(Output::Hail(Frame::Beat(self.own_beat(now))));
+            let beat = self.own_beat(now, false);
+            out.push(Output::Hail(Frame::Join { member: self.members.own.clone(), beat }));
         }
     }
 
     /// Watches the store if this node does it for all, or if nobody seems to.
     pub(super) fn watch_if_needed(&mut self, now: Moment, out: &mut Vec<Output>) {
+        if now.since(self.started_at) < MEET && !self.leaving {
+            return;
+        }
         // This kind changes most, so its readers ask most often; their word holds for all kinds.
         let proven = self.views.get(&Kind::Upstreams).and_then(|view| view.proven_at);
         let old = proven.is_none_or(|at| now.since(at) >= PROOF_OLD);
-        let wanted = !self.leaving && (self.members.is_reader(now) || old);
-        if wanted {
+        if old {
             self.watch_until = now + WATCH_LEAST;
         }
-        let watching = wanted || (now < self.watch_until && !self.leaving);
+        let wanted = self.members.is_reader(now) || now < self.watch_until;
+        let watching = wanted && !self.leaving;
         if watching != self.watching {
             self.watching = watching;
             let proof_ms = proven.map(|at| now.since(at).as_millis());
@@ -176,7 +299,3 @@
         self.watch_if_needed(now, out);
     }
 }
-
-fn is_open(progress: &trial::Progress) -> bool {
-    matches!(progress.state, trial::State::Trying | trial::State::Switching)
-}
--- a/crates/gateway/src/engine/trials.rs
+++ b/crates/gateway/src/engine/trials.rs
@@ -14,7 +14,7 @@
 /// Time for which an end that is not written is left to the next node in turn.
 const TURN: Span = Span::seconds(2);
 /// Time between two frames of evidence.
-const REPORT: Span = Span::millis(250);
+const REPORT: Span = Span::millis(400);
 
 record! {
     /// An end of a trial that the store is to accept.
@@ -182,8 +182,9 @@
         for key in keys {
             let Some(trial) = &self.services[key].trial else { continue };
             let ident = trial.ident;
-            let driver = self.members.driver(now, ident);
-            self.report_evidence(now, key, ident, driver, out);
+            let lead = self.members.lead_of(now, self.members.driver(now, ident));
+            let driver = lead.unwrap_or(self.members.me());
+            self.report_evidence(now, ident, driver, out);
             let open = matches!(
                 self.services[key].trial.as_ref().map(|trial| trial.state),
                 Some(State::Trying | State::Switching)
@@ -197,10 +198,8 @@
     /// Tells whether an end has waited so long for its driver that this node writes it.
     fn is_my_turn(&self, now: Moment, key: key::Service) -> bool {
         let Some(trial) = &self.services[key].trial else { return false };
-        let me = self.members.me();
-        let rank = |ident: u64| base::hash::mix(trial.ident ^ base::hash::mix(ident));
-        let before = self.members.live(now).filter(|(ident, _)| rank(*ident) < rank(me)).count();
-        now.since(trial.since).0 >= TURN.0 * before as u64
+        let before = self.members.turn(now, trial.ident) as u64;
+        self.members.is_lead(now) && now.since(trial.since).0 >= TURN.0 * before
     }
 
     fn drive(&mut self, now: Moment, key: key::Service, out: &mut Vec<Output>) {
@@ -251,7 +250,6 @@
     fn report_evidence(
         &mut self,
         now: Moment,
-        key: key::Service,
         trial: u64,
         driver: u64,
         out: &mut Vec<Output>,
@@ -269,28 +267,37 @@
         if rows.is_empty() {
             return;
         }
-        if driver == self.members.me() {
-            self.judge(key, driver, &rows);
-        } else {
-            out.push(Output::Frame { to: driver, frame: Frame::Evidence { trial, rows } });
-        }
+        let witness = self.members.me();
+        self.hear_evidence(now, trial, witness, rows, out);
     }
 
-    /// Takes in what another node has seen.
-    pub(super) fn hear_evidence(&mut self, trial: u64, rows: &[Row], from: u64) {
-        let keys = self
-            .services
-            .iter()
-            .filter(|(_, service)| service.trial.as_ref().is_some_and(|one| one.ident == trial));
-        let keys: Vec<key::Service> = keys.map(|(key, _)| key).collect();
-        for key in keys {
-            self.judge(key, from, rows);
+    /// Takes in what a node has seen, or passes it on towards the driver of the trial.
+    pub(super) fn hear_evidence(
+        &mut self,
+        now: Moment,
+        trial: u64,
+        witness: u64,
+        rows: Vec<Row>,
+        out: &mut Vec<Output>,
+    ) {
+        let driver = self.members.driver(now, trial);
+        let next = if self.members.is_lead(now) {
+            self.members.lead_of(now, driver)
+        } else {
+            Some(self.members.lead(now))
+        };
+        match next {
+            Some(to) if to != self.members.me() => {
+                out.push(Output::Frame { to, frame: Frame::Evidence { trial, witness, rows } });
+            }
+            _ => self.judge(trial, witness, &rows),
         }
     }
 
-    fn judge(&mut self, key: key::Service, from: u64, rows: &[Row]) {
-        if let Some(trial) = self.services[key].trial.as_mut() {
-            trial.judge.take(from, rows, true);
+    fn judge(&mut self, trial: u64, witness: u64, rows: &[Row]) {
+        let trials = self.services.values_mut().filter_map(|service| service.trial.as_mut());
+        for known in trials.filter(|known| known.ident == trial) {
+            known.judge.take(witness, rows, true);
         }
     }
 
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -1,4 +1,7 @@
 //! The nodes that serve callers, as one of them hears of them.
+//!
+//! Within a failure domain every node hears every other one. Between domains only their leads
+//! talk, as bytes between domains are dear; each lead tells its own domain what it hears.
 
 use std::collections::BTreeMap;
 
@@ -6,17 +9,21 @@
 use base::prelude::*;
 use model::registry::Member;
 
-/// Silence after which a member counts as gone.
+/// Silence after which a node of the own domain counts as gone.
 pub const SILENCE: Span = Span::millis(2_200);
-/// Members that watch the store for all.
+/// Silence after which another domain counts as out of reach.
+pub const SILENCE_AWAY: Span = Span::millis(3_000);
+/// Domains whose leads watch the store for all.
 const READERS: usize = 2;
-/// Time between two greetings to a member that is silent.
+/// Time between two greetings to a node that is silent.
 const GREET: Span = Span::seconds(2);
+/// Time between two tries to find the lead of a domain.
+const SEEK: Span = Span::seconds(1);
 
 record! {
-    /// What is known of a member.
+    /// What is known of another node.
     pub struct Peer {
-        /// The member.
+        /// The node.
         pub member: Member,
         /// When it was last heard.
         pub heard_at: Option<Moment>,
@@ -29,22 +36,52 @@
         /// Identity of its process.
         pub process: u64,
     }
+
+    /// A node that is live in its domain.
+    #[derive(Copy)]
+    pub struct Live {
+        /// Its identity.
+        pub ident: u64,
+        /// Whether it can serve.
+        pub ready: bool,
+    }
+
+    /// What a lead tells of a domain.
+    pub struct Digest {
+        /// Name of the domain.
+        pub domain: String,
+        /// Time since its lead told this.
+        pub age: Span,
+        /// Its live nodes.
+        pub live: Vec<Live>,
+    }
+}
+
+/// What is known of another domain.
+#[derive(Clone, Debug, Default)]
+struct Away {
+    lead: Option<u64>,
+    heard_at: Option<Moment>,
+    live: Vec<Live>,
+    sought_at: Option<Moment>,
+    tries: usize,
 }
 
-/// The members that a node knows of, by identity.
+/// The nodes that a node knows of, by identity.
 #[derive(Clone, Debug)]
 pub struct Members {
     /// This node.
     pub own: Member,
     me: u64,
     peers: BTreeMap<u64, Peer>,
+    away: BTreeMap<String, Away>,
 }
 
 impl Members {
     /// Makes the members of a node that knows only itself.
     #[must_use]
     pub fn new(own: Member) -> Self {
-        Self { me: own.ident(), own, peers: BTreeMap::new() }
+        Self { me: own.ident(), own, peers: BTreeMap::new(), away: BTreeMap::new() }
     }
 
     /// Returns this node's identity.
@@ -53,12 +90,15 @@
         self.me
     }
 
-    /// Learns of a member; returns whether it, or its address, is new.
+    /// Learns of a node; returns whether it, or its address, is new.
     pub fn learn(&mut self, member: &Member) -> bool {
         let ident = member.ident();
         if ident == self.me {
             return false;
         }
+        if member.domain != self.own.domain {
+            self.away.entry(member.domain.clone()).or_default();
+        }
         if let Some(known) = self.peers.get_mut(&ident) {
             let moved = known.member != *member;
             if moved {
@@ -79,36 +119,138 @@
         true
     }
 
-    /// Returns a member to change what is known of it.
+    /// Returns a node to change what is known of it.
     pub fn get_mut(&mut self, ident: u64) -> Option<&mut Peer> {
         self.peers.get_mut(&ident)
     }
 
-    /// Returns every other member.
+    /// Returns a node.
+    #[must_use]
+    pub fn get(&self, ident: u64) -> Option<&Peer> {
+        self.peers.get(&ident)
+    }
+
+    /// Tells whether a node is of this domain, if it is known.
+    #[must_use]
+    pub fn is_near(&self, ident: u64) -> Option<bool> {
+        Some(self.peers.get(&ident)?.member.domain == self.own.domain)
+    }
+
+    /// Returns every other node.
     pub fn peers(&self) -> impl Iterator<Item = (u64, &Peer)> {
         self.peers.iter().map(|(ident, peer)| (*ident, peer))
     }
 
-    /// Returns the number of members known, heard or not, with this one.
+    /// Returns the number of nodes known, heard or not, with this one.
     #[must_use]
     pub fn known(&self) -> usize {
         self.peers.len() + 1
     }
 
-    /// Returns the other members that were heard lately and do not leave.
-    pub fn live(&self, now: Moment) -> impl Iterator<Item = (u64, &Peer)> {
-        self.peers().filter(move |(_, peer)| peer.is_live(now))
+    /// Returns the nodes of a domain that are known, heard or not.
+    pub fn known_in(&self, domain: &str) -> impl Iterator<Item = u64> {
+        let own = (self.own.domain == domain).then_some(self.me);
+        let peers = self.peers().filter(move |(_, peer)| peer.member.domain == domain);
+        peers.map(|(ident, _)| ident).chain(own)
+    }
+
+    /// Returns the other nodes of this domain that were heard lately and do not leave.
+    pub fn near(&self, now: Moment) -> impl Iterator<Item = (u64, &Peer)> {
+        let own = self.own.domain.as_str();
+        self.peers().filter(move |(_, peer)| peer.member.domain == own && peer.is_live(now))
+    }
+
+    /// Returns the lead of this domain.
+    #[must_use]
+    pub fn lead(&self, now: Moment) -> u64 {
+        let near = self.near(now).map(|(ident, _)| ident);
+        near.chain([self.me]).min_by_key(|ident| mix(*ident)).unwrap_or(self.me)
+    }
+
+    /// Tells whether this node is the lead of its domain.
+    #[must_use]
+    pub fn is_lead(&self, now: Moment) -> bool {
+        self.lead(now) == self.me
+    }
+
+    /// Returns the leads of the other domains that were heard lately.
+    pub fn leads(&self, now: Moment) -> impl Iterator<Item = u64> {
+        self.away.values().filter(move |away| away.is_heard(now)).filter_map(|away| away.lead)
+    }
+
+    /// Returns the lead of a domain, if it is known.
+    #[must_use]
+    pub fn lead_of(&self, now: Moment, domain: &str) -> Option<u64> {
+        if domain == self.own.domain {
+            return Some(self.lead(now));
+        }
+        self.away.get(domain)?.lead
+    }
+
+    /// Notes which node leads another domain.
+    pub fn note_lead(&mut self, ident: u64) {
+        if let Some(peer) = self.peers.get(&ident)
+            && let Some(away) = self.away.get_mut(&peer.member.domain)
+        {
+            away.lead = Some(ident);
+        }
+    }
+
+    /// Takes in what a lead tells of its own domain.
+    pub fn hear_lead(&mut self, now: Moment, ident: u64, live: Vec<Live>) {
+        self.note_lead(ident);
+        if let Some(peer) = self.peers.get(&ident)
+            && let Some(away) = self.away.get_mut(&peer.member.domain)
+        {
+            *away = Away { lead: Some(ident), heard_at: Some(now), live, ..Away::default() };
+        }
+    }
+
+    /// Takes in what the lead of this domain tells of another one.
+    pub fn hear_digest(&mut self, now: Moment, digest: &Digest) {
+        if digest.domain == self.own.domain {
+            return;
+        }
+        let away = self.away.entry(digest.domain.clone()).or_default();
+        let heard_at = Some(now - digest.age);
+        if heard_at > away.heard_at {
+            away.heard_at = heard_at;
+            away.live.clone_from(&digest.live);
+        }
+    }
+
+    /// Returns what this node can tell of its own domain.
+    #[must_use]
+    pub fn own_digest(&self, now: Moment, ready: bool, leaving: bool) -> Digest {
+        let near = self.near(now).map(|(ident, peer)| Live { ident, ready: peer.ready });
+        let own = (!leaving).then_some(Live { ident: self.me, ready });
+        let live = near.chain(own).collect();
+        Digest { domain: self.own.domain.clone(), age: Span::ZERO, live }
+    }
+
+    /// Returns what this node has heard of other domains.
+    pub fn digests(&self, now: Moment) -> impl Iterator<Item = Digest> {
+        let heard = self.away.iter().filter(move |(_, away)| away.is_heard(now));
+        heard.filter_map(move |(domain, away)| {
+            let age = now.since(away.heard_at?);
+            Some(Digest { domain: domain.clone(), age, live: away.live.clone() })
+        })
+    }
+
+    /// Returns the live nodes of other domains.
+    pub fn live_away(&self, now: Moment) -> impl Iterator<Item = Live> {
+        let heard = self.away.values().filter(move |away| away.is_heard(now));
+        heard.flat_map(|away| away.live.iter().copied())
     }
 
-    /// Returns the members to greet, and notes that they are greeted.
+    /// Returns the silent nodes of this domain to greet, and notes that they are greeted.
     pub fn greet(&mut self, now: Moment) -> Vec<u64> {
-        let due = |peer: &Peer| {
-            let silent = peer.heard_at.is_none_or(|at| now.since(at) >= SILENCE);
-            silent && peer.greeted_at.is_none_or(|at| now.since(at) >= GREET)
-        };
+        let own = self.own.domain.as_str();
         let mut greeted = Vec::new();
         for (ident, peer) in &mut self.peers {
-            if due(peer) {
+            let silent = peer.heard_at.is_none_or(|at| now.since(at) >= SILENCE);
+            let due = peer.greeted_at.is_none_or(|at| now.since(at) >= GREET);
+            if silent && due && peer.member.domain == own {
                 peer.greeted_at = Some(now);
                 greeted.push(*ident);
             }
@@ -116,27 +258,53 @@
         greeted
     }
 
+    /// Returns one node of each domain that is out of reach, another one at each try.
+    pub fn seek(&mut self, now: Moment) -> Vec<u64> {
+        let mut sought = Vec::new();
+        for (domain, away) in &mut self.away {
+            let due = away.sought_at.is_none_or(|at| now.since(at) >= SEEK);
+            if away.is_heard(now) || !due {
+                continue;
+            }
+            let inside = self.peers.iter().filter(|(_, peer)| peer.member.domain == *domain);
+            let mut inside: Vec<u64> = inside.map(|(ident, _)| *ident).collect();
+            inside.sort_by_key(|ident| mix(*ident));
+            away.sought_at = Some(now);
+            let known = away.lead.filter(|_| away.tries == 0);
+            sought.extend(known.or_else(|| inside.get(away.tries % inside.len().max(1)).copied()));
+            away.tries += 1;
+        }
+        sought
+    }
+
+    /// Returns the domains that were heard lately, with this one, in the order of `ident`.
+    fn ranked(&self, now: Moment, ident: u64) -> Vec<&str> {
+        let heard = self.away.iter().filter(|(_, away)| away.is_heard(now));
+        let heard = heard.map(|(domain, _)| domain.as_str());
+        let mut ranked: Vec<&str> = heard.chain([self.own.domain.as_str()]).collect();
+        ranked.sort_by_key(|domain| mix(ident ^ digest(&[domain.as_bytes()])));
+        ranked
+    }
+
     /// Tells whether this node is one of those that watch the store for all.
-    ///
-    /// The second reader is in another failure domain than the first, if there is one.
     #[must_use]
     pub fn is_reader(&self, now: Moment) -> bool {
-        let own = (self.me, self.own.domain.as_str());
-        let others = self.live(now).map(|(ident, peer)| (ident, peer.member.domain.as_str()));
-        let mut ranked: Vec<_> = others.chain([own]).collect();
-        ranked.sort_by_key(|(ident, _)| mix(*ident ^ digest(&[b"reader"])));
-        let Some(first) = ranked.first().copied() else { return true };
-        let apart = ranked.iter().find(|(_, domain)| *domain != first.1).copied();
-        let second = apart.or_else(|| ranked.get(READERS - 1).copied());
-        first.0 == self.me || second.is_some_and(|second| second.0 == self.me)
+        let ranked = self.ranked(now, digest(&[b"reader"]));
+        let own = self.own.domain.as_str();
+        self.is_lead(now) && ranked.iter().take(READERS).any(|domain| *domain == own)
+    }
+
+    /// Returns the domain whose lead drives what has the given identity.
+    #[must_use]
+    pub fn driver(&self, now: Moment, ident: u64) -> &str {
+        self.ranked(now, ident).first().copied().unwrap_or(&self.own.domain)
     }
 
-    /// Returns the member that drives what has the given identity.
+    /// Returns how many domains come before this one for what has the given identity.
     #[must_use]
-    pub fn driver(&self, now: Moment, ident: u64) -> u64 {
-        let others = self.live(now).map(|(other, _)| other);
-        let least = others.chain([self.me]).min_by_key(|other| mix(ident ^ mix(*other)));
-        least.unwrap_or(self.me)
+    pub fn turn(&self, now: Moment, ident: u64) -> usize {
+        let own = self.own.domain.as_str();
+        self.ranked(now, ident).iter().position(|domain| *domain == own).unwrap_or(0)
     }
 }
 
@@ -147,3 +315,9 @@
         !self.leaving && self.heard_at.is_some_and(|at| now.since(at) < SILENCE)
     }
 }
+
+impl Away {
+    fn is_heard(&self, now: Moment) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < SILENCE_AWAY)
+    }
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,16 +4,28 @@
 use model::registry::{Kind, Member};
 use policy::rollout::Row;
 
+use crate::member::Digest;
 use crate::trial::Progress;
 use crate::view::Batch;
 
 record! {
     /// What goes from one node to another.
     pub enum Frame {
+        /// A first sign of life, which says who the sender is.
+        Join {
+            /// The sender.
+            member: Member,
+            /// How it is.
+            beat: Beat,
+        },
         /// A sign of life.
         Beat(Beat),
-        /// The members that the sender knows, for one who joins.
+        /// Asks which nodes the receiver knows.
+        Ask,
+        /// The nodes that the sender knows.
         Members(Vec<Member>),
+        /// The lead of the sender's domain, for a lead that has taken the sender for it.
+        Lead(Member),
         /// Facts from the store.
         Facts {
             /// Their kind.
@@ -26,10 +38,12 @@
             /// The kind.
             kind: Kind,
         },
-        /// Tells the driver of a trial what the sender has seen.
+        /// Tells the driver of a trial what a node has seen.
         Evidence {
             /// Identity of the trial.
             trial: u64,
+            /// The node that has seen it.
+            witness: u64,
             /// What has changed.
             rows: Vec<Row>,
         },
@@ -46,14 +60,16 @@
 
     /// A sign of life.
     pub struct Beat {
-        /// The sender.
-        pub member: Member,
-        /// Identity of its process.
+        /// Identity of the sender's process.
         pub process: u64,
         /// Whether it leaves.
         pub leaving: bool,
         /// Whether it can serve.
         pub ready: bool,
+        /// Whether it leads its domain.
+        pub lead: bool,
+        /// What a lead tells: of other domains to its own, of its own to others.
+        pub domains: Vec<Digest>,
         /// What it knows of each kind of fact.
         pub proofs: Vec<Proof>,
         /// How far it sees trials.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use chart::Chart;
 
+use crate::cold::Sends;
 use crate::gauge::Gauge;
 
 /// Pause after a first failure.
@@ -81,10 +82,8 @@
         pub gauge: Gauge,
         /// Until when it says that it is in a cold start.
         pub cold_until: Moment,
-        /// When this node last sent it a request in a cold start.
-        pub cold_sent: Option<Moment>,
-        /// When this node last sent it any request.
-        pub sent_at: Option<Moment>,
+        /// Requests that this node sent it lately.
+        pub sends: Sends,
         /// The next pause.
         pub rest: Span,
         /// End of the pause.
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -16,7 +16,7 @@
 use crate::steer::{Message, Way};
 
 /// Time for which a watch of the kind that proves the store's presence waits.
-const WAIT_PROOF: Duration = Duration::from_millis(1_000);
+const WAIT_PROOF: Duration = Duration::from_millis(700);
 /// Time for which the other watches wait.
 const WAIT: Duration = Duration::from_secs(15);
 /// First pause after a failure.
@@ -116,6 +116,9 @@
         let Listing { items, at } = read;
         let kind = self.kind;
         if items.is_empty() {
+            // The store has waited that long before it said that nothing is there.
+            let proven_at = asked_at + wait.into();
+            let asked_at = if proven_at <= clock::now() { proven_at } else { asked_at };
             self.steer.post(Message::Current { kind, at: self.after, asked_at });
             // A watch may have missed what came just before its end; the next one starts before
             // that, and the store's history still has it.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -105,7 +105,7 @@
     let (contact, mailbox) = Mailbox::unbounded();
     tasks.spawn(xtra::run(mailbox, Contact::new(store.another(), way.clone())));
 
-    let (watching, watched) = watch::channel(true);
+    let (watching, watched) = watch::channel(false);
     for kind in WATCHED {
         let reader = Reader::new(store.another(), kind, way.clone(), watched.clone());
         tasks.spawn(reader.run());
