Let what others had at an upstream age before its best case is weighed

Ruled out: slow neighbours, as most candidates told pace 1. Change: the best case uses the aged load.

--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -242,8 +242,7 @@
         let near = upstream.domain == self.home;
         let mut cost = if old {
             // A good upstream would need this; asking it shows whether it is one.
-            let known = crate::gauge::Gauge { pace: 1.0, told_at: now, ..gauge };
-            known.cost(now, upstream.slots, route.service_time, cold)
+            gauge.at_best(now).cost(now, upstream.slots, route.service_time, cold)
         } else {
             gauge.cost(now, upstream.slots, route.service_time, cold)
         };
--- a/crates/gateway/src/gauge.rs
+++ b/crates/gateway/src/gauge.rs
@@ -104,6 +104,13 @@
         USUAL_PACE + (self.pace - USUAL_PACE) * worth
     }
 
+    /// Returns what a new report would say of a good upstream.
+    #[must_use]
+    pub fn at_best(&self, now: Moment) -> Self {
+        let others = self.others * decay(now.since(self.told_at), OTHERS_LIFE);
+        Self { others, pace: 1.0, told_at: now, ..*self }
+    }
+
     /// Returns how old the last report is.
     #[must_use]
     pub fn age(&self, now: Moment) -> Span {
