Refuse what no upstream can answer within its target, and take slow health answers for fullness

Cause: with too few upstreams (a completed rollout with half of them) requests queued at the upstreams until nearly all answers came late; questions for health on new connections wait for a slot there, so that full upstreams counted as gone. Seen by logging each question that failed: 211 of 275 connected and had no answer. Also: a trial packed onto one upstream hid its failures, as one upstream alone is not held against its version; upstreams that register after a completed rollout serve whatever their version.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
-use model::registry::{Kind, Member, Phase};
+use model::registry::{Kind, Member};
 use policy::harm::Suspects;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -188,8 +188,8 @@
     upstreams: Vec<key::Upstream>,
     budget: Budget,
     trial: Option<Trial>,
-    /// How the last rollout of which the store knows ended.
-    settled: Option<(key::Version, Phase)>,
+    /// Versions whose rollouts were rolled back.
+    banned: BTreeSet<key::Version>,
     /// Versions that get traffic without an order.
     established: BTreeSet<key::Version>,
 }
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -20,10 +20,11 @@
 const PROBE_WAIT_MOST: Span = Span::millis(60);
 /// Part of a route's target that another failure domain costs: its bytes, and some time.
 const AWAY_COST: f64 = 0.15;
-/// Requests at an upstream, in slots, above which the most urgent routes use it no more.
-const CROWD: f64 = 2.0;
-/// The same for the other routes, so that the urgent ones find room when it is short.
-const CROWD_LESS_URGENT: f64 = 1.75;
+/// Part of the target within which an answer has to be expected from an upstream without a free
+/// slot; a queue that makes answers late serves nobody.
+const QUEUE_PART: f64 = 1.0;
+/// The same for less urgent routes, so that the urgent ones find room when it is short.
+const QUEUE_PART_LESS_URGENT: f64 = 0.8;
 /// Rank from which on routes count as less urgent.
 const LESS_URGENT: u32 = 2;
 /// Share of calls that go to a cold upstream of the own domain that may have one.
@@ -228,11 +229,7 @@
         if !open || call.tried.contains(&at) || !self.fits_version(call, upstream.version) {
             return None;
         }
-        let crowd = if route.rank < LESS_URGENT { CROWD } else { CROWD_LESS_URGENT };
         let gauge = upstream.gauge;
-        if gauge.load(now) >= crowd * f64::from(upstream.slots) {
-            return None;
-        }
         let cold = upstream.state == State::Cold;
         if cold && !self.may_send_cold(now, at) {
             return None;
@@ -246,12 +243,17 @@
         } else {
             gauge.cost(now, upstream.slots, route.service_time, cold)
         };
+        if gauge.load(now) + 1.0 > f64::from(upstream.slots) && !old {
+            let urgent = route.rank < LESS_URGENT;
+            let part = if urgent { QUEUE_PART } else { QUEUE_PART_LESS_URGENT };
+            let spent = now.since(call.arrived).0 as f64;
+            if spent + cost > part * route.target.0 as f64 {
+                return None;
+            }
+        }
         cost += if near { 0.0 } else { AWAY_COST * route.target.0 as f64 };
         cost *= if upstream.ill { 2.0 } else { 1.0 };
-        if call.trial {
-            // Load shows what a version bears, so few of its upstreams get the trial's share.
-            cost = (upstream.ident % 1_000) as f64;
-        } else if cold && near && self.rng.random_bool(TRY_COLD) {
+        if cold && near && self.rng.random_bool(TRY_COLD) {
             cost *= 0.5;
         }
         Some(Candidate { upstream: at, cost, old, unproven, cold })
--- a/crates/gateway/src/engine/facts.rs
+++ b/crates/gateway/src/engine/facts.rs
@@ -230,7 +230,7 @@
             upstreams: Vec::new(),
             budget: Budget::default(),
             trial: None,
-            settled: None,
+            banned: Default::default(),
             established: Default::default(),
         });
         self.service_names.insert(name.to_owned(), key);
@@ -386,7 +386,10 @@
             for key in &service.upstreams {
                 let version = self.upstreams[*key].version;
                 let ordered = service.trial.as_ref().is_some_and(|trial| trial.target == version);
-                if !ordered && now.since(self.versions[version].seen_at) >= UNORDERED {
+                if !ordered
+                    && !service.banned.contains(&version)
+                    && now.since(self.versions[version].seen_at) >= UNORDERED
+                {
                     service.established.insert(version);
                 }
             }
--- a/crates/gateway/src/engine/health.rs
+++ b/crates/gateway/src/engine/health.rs
@@ -18,8 +18,10 @@
 record! {
     /// What came of a question for health.
     pub enum Health {
-        /// No answer came, or none that can be read.
+        /// No connection could be opened.
         Silent,
+        /// A connection could be opened, and no answer came on it in time.
+        Slow,
         /// Another upstream has the address.
         Other,
         /// The upstream has answered.
@@ -79,6 +81,8 @@
                 self.accuse(now, key, out);
                 self.upstream_event(now, key, Event::Unreachable, out);
             }
+            // A new connection waits for a slot, so one that is full looks like this.
+            Health::Slow => upstream.gauge.assume_full(now, upstream.slots),
             Health::Other => {
                 self.accuse(now, key, out);
                 self.upstream_event(now, key, Event::Unreachable, out);
--- a/crates/gateway/src/engine/trials.rs
+++ b/crates/gateway/src/engine/trials.rs
@@ -54,9 +54,7 @@
             return;
         }
         service.established.remove(&target);
-        if service.settled.is_some_and(|(version, _)| version == target) {
-            service.settled = None;
-        }
+        service.banned.remove(&target);
         service.trial = Some(Trial {
             ident,
             service: key,
@@ -85,17 +83,37 @@
         out: &mut Vec<Output>,
     ) {
         let service = &mut self.services[key];
-        service.settled = Some((target, phase));
+        let tried = service.trial.take_if(|trial| trial.target == target);
         if phase == Phase::Completed {
+            service.banned.remove(&target);
             service.established.insert(target);
         } else {
-            service.established.remove(&target);
+            service.banned.insert(target);
         }
-        if let Some(trial) = service.trial.as_mut().filter(|trial| trial.target == target) {
-            trial.state = if phase == Phase::Completed { State::Finished } else { State::Failed };
-            trial.since = now;
-            trial.written = true;
-            self.note_trial(key, out);
+        let Some(trial) = tried else { return };
+        out.push(Output::Note(Note::Trial {
+            service: trial.service_name,
+            target: trial.target_name,
+            state: if phase == Phase::Completed { State::Finished } else { State::Failed },
+            samples: trial.judge.samples(),
+        }));
+        if phase == Phase::Completed {
+            self.drop_others(now, key, target, out);
+        }
+    }
+
+    /// Sends nothing more to upstreams of other versions, which end now; later ones may serve.
+    fn drop_others(
+        &mut self,
+        now: Moment,
+        key: key::Service,
+        target: key::Version,
+        out: &mut Vec<Output>,
+    ) {
+        let known = self.services[key].upstreams.iter().copied();
+        let others = known.filter(|at| self.upstreams[*at].version != target);
+        for at in others.collect::<Vec<_>>() {
+            self.upstream_event(now, at, crate::upstream::Event::Draining, out);
         }
     }
 
@@ -138,13 +156,7 @@
                 State::Failed => version != trial.target,
             };
         }
-        match service.settled {
-            Some((settled, Phase::Completed)) => {
-                version == settled || !self.is_present(call.service, settled)
-            }
-            Some((settled, _)) => version != settled,
-            None => service.established.contains(&version),
-        }
+        service.established.contains(&version) && !service.banned.contains(&version)
     }
 
     fn is_present(&self, service: key::Service, version: key::Version) -> bool {
--- a/crates/gateway/src/gauge.rs
+++ b/crates/gateway/src/gauge.rs
@@ -78,6 +78,12 @@
         self.told_at = now;
     }
 
+    /// Takes an upstream that does not answer for full.
+    pub fn assume_full(&mut self, now: Moment, slots: u32) {
+        self.others = self.others.max(f64::from(slots));
+        self.told_at = now;
+    }
+
     /// Counts an answer.
     pub fn count(&mut self, now: Moment, failed: bool) {
         let share = self.failure_share(now);
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -41,26 +41,34 @@
         None => None,
     };
     // An idle connection may have been closed, or have gone silent; a new one tells.
-    let told = match known {
-        Some(told) => Some(told),
+    let health = match known {
+        Some(told) => judge(&steer, dialect, upstream, &id, told),
         None => match Link::open(address).await {
-            Ok(link) => attempt(dialect, link, address, &path).await,
-            Err(_) => None,
+            Ok(link) => match attempt(dialect, link, address, &path).await {
+                Some(told) => judge(&steer, dialect, upstream, &id, told),
+                None => Health::Slow,
+            },
+            Err(_) => Health::Silent,
         },
     };
-    let health = match told {
-        None => Health::Silent,
-        Some((response, link)) => {
-            let health = read(dialect, &id, &response);
-            if health != Health::Other {
-                steer.post(Message::Free(upstream, link));
-            }
-            health
-        }
-    };
     steer.post(Message::Probed { upstream, health });
 }
 
+/// Reads an answer and gives its connection back.
+fn judge(
+    steer: &Way,
+    dialect: &Dialect,
+    upstream: key::Upstream,
+    id: &str,
+    (response, link): (Response<()>, Link),
+) -> Health {
+    let health = read(dialect, id, &response);
+    if health != Health::Other {
+        steer.post(Message::Free(upstream, link));
+    }
+    health
+}
+
 async fn attempt(
     dialect: &Dialect,
     mut link: Link,
