Let the load of others go back to the usual as a report ages

Cause: a report's load decayed to nothing, so that full upstreams looked free a quarter of a second later; one got 133 sends in 5 s of which it refused 74.

--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -3,10 +3,11 @@
 use base::prelude::*;
 use rand::RngExt;
 
-use super::{Engine, Output, Refusal};
+use super::{Call, Engine, Output, Refusal};
 use crate::cold;
 use crate::exchange::Exchange;
-use crate::upstream::State;
+use crate::gauge::KNEE;
+use crate::upstream::{State, Upstream};
 
 /// Age from which on a report is renewed before it decides.
 const FRESH: Span = Span::millis(120);
@@ -20,11 +21,6 @@
 const PROBE_WAIT_MOST: Span = Span::millis(60);
 /// Part of a route's target that another failure domain costs: its bytes, and some time.
 const AWAY_COST: f64 = 0.15;
-/// Part of the target within which an answer has to be expected from an upstream without a free
-/// slot; a queue that makes answers late serves nobody.
-const QUEUE_PART: f64 = 1.0;
-/// The same for less urgent routes, so that the urgent ones find room when it is short.
-const QUEUE_PART_LESS_URGENT: f64 = 0.8;
 /// Rank from which on routes count as less urgent.
 const LESS_URGENT: u32 = 2;
 /// Share of calls that go to a cold upstream of the own domain that may have one.
@@ -243,13 +239,8 @@
         } else {
             gauge.cost(now, upstream.slots, route.service_time, cold)
         };
-        if gauge.load(now) + 1.0 > f64::from(upstream.slots) && !old {
-            let urgent = route.rank < LESS_URGENT;
-            let part = if urgent { QUEUE_PART } else { QUEUE_PART_LESS_URGENT };
-            let spent = now.since(call.arrived).0 as f64;
-            if spent + cost > part * route.target.0 as f64 {
-                return None;
-            }
+        if !old && !self.has_room(now, call, upstream, cost) {
+            return None;
         }
         cost += if near { 0.0 } else { AWAY_COST * route.target.0 as f64 };
         cost *= if upstream.ill { 2.0 } else { 1.0 };
@@ -259,6 +250,20 @@
         Some(Candidate { upstream: at, cost, old, unproven, cold })
     }
 
+    /// Tells whether an upstream should take one more request of a call's route.
+    ///
+    /// Below its knee it always should. Beyond, each request slows the others, so only those that
+    /// are urgent go there, and only if their own answers are expected in time.
+    fn has_room(&self, now: Moment, call: &Call, upstream: &Upstream, cost: f64) -> bool {
+        let Some(route) = self.routes.arena.get(call.route) else { return false };
+        let load = upstream.gauge.load(now);
+        if load < 1.0 || load + 1.0 <= KNEE * f64::from(upstream.slots) {
+            return true;
+        }
+        let spent = now.since(call.arrived).0 as f64;
+        route.rank < LESS_URGENT && spent + cost <= route.target.0 as f64
+    }
+
     /// Tells whether this node may send a request to a cold upstream now.
     fn may_send_cold(&self, now: Moment, key: key::Upstream) -> bool {
         let upstream = &self.upstreams[key];
--- a/crates/gateway/src/engine/outcome.rs
+++ b/crates/gateway/src/engine/outcome.rs
@@ -12,6 +12,8 @@
 const FAILING_RUN: u32 = 4;
 /// Time for which an upstream is left alone that said it is full.
 const FULL_PAUSE: Span = Span::millis(40);
+/// Requests, in slots, at an upstream that refuses one.
+const FULL_LOAD: u32 = 2;
 /// Sends of one call that upstreams refused.
 const MOST_REFUSED: u32 = 2;
 
@@ -202,7 +204,7 @@
     fn note_full(&mut self, now: Moment, exchange: &Exchange) {
         if let Some(upstream) = self.upstreams.get_mut(exchange.upstream) {
             upstream.full_until = now + FULL_PAUSE;
-            upstream.gauge.count(now, true);
+            upstream.gauge.assume_full(now, FULL_LOAD * upstream.slots);
         }
     }
 
--- a/crates/gateway/src/gauge.rs
+++ b/crates/gateway/src/gauge.rs
@@ -4,12 +4,14 @@
 
 /// Time after which what others do at an upstream is only guessed.
 const OTHERS_LIFE: Span = Span::millis(250);
+/// Weight of a new report in the usual requests of others.
+const USUAL_GAIN: f64 = 0.25;
 /// Time after which a told pace has lost most of its worth; neighbours change faster than that.
 const PACE_LIFE: Span = Span::millis(250);
 /// Mean of the pace that is assumed while nothing is told.
 const USUAL_PACE: f64 = 1.5;
 /// Share of taken slots from which on an upstream slows down.
-const KNEE: f64 = 0.8;
+pub const KNEE: f64 = 0.8;
 /// How much slower a nearly full upstream is.
 const KNEE_FACTOR: f64 = 1.7;
 /// How much slower an upstream in a cold start is.
@@ -42,6 +44,8 @@
         pub own: u32,
         /// Requests of others there at the last report.
         pub others: f64,
+        /// Mean of the requests of others, over some reports.
+        pub usual: f64,
         /// Pace at the last report.
         pub pace: f64,
         /// When the last report came.
@@ -60,6 +64,7 @@
         Self {
             own: 0,
             others: 0.0,
+            usual: 0.0,
             pace: USUAL_PACE,
             told_at: Moment::default(),
             heard_at: Moment::default(),
@@ -74,6 +79,7 @@
     pub fn report(&mut self, now: Moment, report: Report) {
         let total = report.running + report.waiting;
         self.others = f64::from(total.saturating_sub(self.own));
+        self.usual += USUAL_GAIN * (self.others - self.usual);
         self.pace = report.pace.max(0.1);
         self.told_at = now;
     }
@@ -81,6 +87,7 @@
     /// Takes an upstream that does not answer for full.
     pub fn assume_full(&mut self, now: Moment, slots: u32) {
         self.others = self.others.max(f64::from(slots));
+        self.usual += USUAL_GAIN * (self.others - self.usual);
         self.told_at = now;
     }
 
@@ -100,7 +107,12 @@
     /// Estimates the requests there.
     #[must_use]
     pub fn load(&self, now: Moment) -> f64 {
-        f64::from(self.own) + self.others * decay(now.since(self.told_at), OTHERS_LIFE)
+        f64::from(self.own) + self.others(now)
+    }
+
+    /// Estimates the requests of others there: those of the last report at first, then the usual.
+    fn others(&self, now: Moment) -> f64 {
+        self.usual + (self.others - self.usual) * decay(now.since(self.told_at), OTHERS_LIFE)
     }
 
     /// Estimates the pace there.
@@ -113,8 +125,7 @@
     /// Returns what a new report would say of a good upstream.
     #[must_use]
     pub fn at_best(&self, now: Moment) -> Self {
-        let others = self.others * decay(now.since(self.told_at), OTHERS_LIFE);
-        Self { others, pace: 1.0, told_at: now, ..*self }
+        Self { others: self.others(now), pace: 1.0, told_at: now, ..*self }
     }
 
     /// Returns how old the last report is.
