--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -21,6 +21,8 @@
 const PROBE_WAIT_MOST: Span = Span::millis(60);
 /// Part of a route's target that another failure domain costs: its bytes, and some time.
 const AWAY_COST: f64 = 0.15;
+/// Part of an upstream's slots up to which it takes second sends.
+const IDLE_PART: f64 = 0.7;
 /// Rank from which on routes count as less urgent.
 const LESS_URGENT: u32 = 2;
 /// Share of calls that go to a cold upstream of the own domain that may have one.
@@ -57,6 +59,8 @@
     old: bool,
     /// Whether it has to answer before it may be used.
     unproven: bool,
+    /// Whether it should take one more request, as far as is known.
+    room: bool,
     /// Whether it is in a cold start.
     cold: bool,
 }
@@ -80,7 +84,7 @@
         if self.ask(now, key, &candidates, out) {
             return;
         }
-        match candidates.iter().find(|one| !one.unproven) {
+        match candidates.iter().find(|one| one.room && !one.unproven) {
             Some(best) => self.send(now, key, *best, candidates.len(), out),
             None => self.refuse_if_alone(key, self.lack(key), out),
         }
@@ -103,7 +107,12 @@
         }
         let left = call.deadline.since(now).0 as f64;
         let candidates = self.candidates(now, key);
-        let usable = candidates.iter().filter(|one| !one.unproven && !one.cold);
+        // A second send must not take the place of somebody's first.
+        let usable = candidates.iter().filter(|one| {
+            let upstream = &self.upstreams[one.upstream];
+            let idle = upstream.gauge.load(now) + 1.0 <= IDLE_PART * f64::from(upstream.slots);
+            idle && !one.unproven && !one.cold
+        });
         let best = usable.min_by(|one, other| one.cost.total_cmp(&other.cost)).copied();
         let Some(best) = best.filter(|best| best.cost < left) else { return false };
         if !self.spend(now, key) {
@@ -239,7 +248,8 @@
         } else {
             gauge.cost(now, upstream.slots, route.service_time, cold)
         };
-        if !old && !self.has_room(now, call, upstream, cost) {
+        let room = self.has_room(now, call, upstream, cost);
+        if !old && !room {
             return None;
         }
         cost += if near { 0.0 } else { AWAY_COST * route.target.0 as f64 };
@@ -247,7 +257,7 @@
         if cold && near && self.rng.random_bool(TRY_COLD) {
             cost *= 0.5;
         }
-        Some(Candidate { upstream: at, cost, old, unproven, cold })
+        Some(Candidate { upstream: at, cost, old, unproven, room, cold })
     }
 
     /// Tells whether an upstream should take one more request of a call's route.
--- a/crates/gateway/src/engine/health.rs
+++ b/crates/gateway/src/engine/health.rs
@@ -82,7 +82,7 @@
                 self.upstream_event(now, key, Event::Unreachable, out);
             }
             // A new connection waits for a slot, so one that is full looks like this.
-            Health::Slow => upstream.gauge.assume_full(now, upstream.slots),
+            Health::Slow => upstream.gauge.assume_full(now, 2 * upstream.slots),
             Health::Other => {
                 self.accuse(now, key, out);
                 self.upstream_event(now, key, Event::Unreachable, out);
