--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -20,9 +20,11 @@
 /// Time to wait when no upstream may be used without an answer.
 const PROBE_WAIT_MOST: Span = Span::millis(60);
 /// Part of a route's target that another failure domain costs: its bytes, and some time.
-const AWAY_COST: f64 = 0.15;
+const AWAY_COST: f64 = 0.5;
 /// Part of an upstream's slots up to which it takes second sends.
 const IDLE_PART: f64 = 0.7;
+/// Part of the target within which less urgent answers have to be expected beyond the knee.
+const LESS_URGENT_PART: f64 = 0.8;
 /// Rank from which on routes count as less urgent.
 const LESS_URGENT: u32 = 2;
 /// Share of calls that go to a cold upstream of the own domain that may have one.
@@ -270,8 +272,13 @@
         if load < 1.0 || load + 1.0 <= KNEE * f64::from(upstream.slots) {
             return true;
         }
+        let urgent = route.rank < LESS_URGENT;
+        if !urgent && load + 1.0 > f64::from(upstream.slots) {
+            return false;
+        }
         let spent = now.since(call.arrived).0 as f64;
-        route.rank < LESS_URGENT && spent + cost <= route.target.0 as f64
+        let part = if urgent { 1.0 } else { LESS_URGENT_PART };
+        spent + cost <= part * route.target.0 as f64
     }
 
     /// Tells whether this node may send a request to a cold upstream now.
