--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -13,8 +13,10 @@
 const FRESH: Span = Span::millis(120);
 /// Upstreams asked for their health at a time for one call.
 const ASKED: usize = 3;
+/// The same of other failure domains.
+const ASKED_AWAY: usize = 1;
 /// Rounds of such questions for one call.
-const ROUNDS: u32 = 2;
+const ROUNDS: u32 = 3;
 /// Time to wait for their answers.
 const PROBE_WAIT: Span = Span::millis(15);
 /// Time to wait when no upstream may be used without an answer.
@@ -65,6 +67,8 @@
     room: bool,
     /// Whether it is in a cold start.
     cold: bool,
+    /// Whether it is in this node's failure domain.
+    near: bool,
 }
 
 impl Engine {
@@ -158,7 +162,9 @@
             return false;
         }
         let mut asked = Vec::new();
-        for candidate in candidates.iter().filter(|one| one.old).take(ASKED) {
+        let old = candidates.iter().filter(|one| one.old);
+        let most = if best.near { ASKED } else { ASKED_AWAY };
+        for candidate in old.filter(|one| one.near == best.near).take(most) {
             if self.probe(now, candidate.upstream, out) {
                 asked.push(candidate.upstream);
             }
@@ -259,7 +265,7 @@
         if cold && near && self.rng.random_bool(TRY_COLD) {
             cost *= 0.5;
         }
-        Some(Candidate { upstream: at, cost, old, unproven, room, cold })
+        Some(Candidate { upstream: at, cost, old, unproven, room, cold, near })
     }
 
     /// Tells whether an upstream should take one more request of a call's route.
--- a/crates/gateway/src/engine/peers.rs
+++ b/crates/gateway/src/engine/peers.rs
@@ -11,7 +11,9 @@
 /// The same of a lead, which passes on how current the facts are.
 const BEAT_LEAD: Span = Span::millis(300);
 /// Time between signs of life among leads.
-const BEAT_AWAY: Span = Span::millis(400);
+const BEAT_AWAY: Span = Span::millis(1_000);
+/// The same of a lead that watches the store, whose word has to be fresh.
+const BEAT_AWAY_WATCHING: Span = Span::millis(400);
 /// Time between greetings to the addresses of the settings while no other node is known.
 const HAIL: Span = Span::seconds(1);
 /// Age of the newest proof from which on a node watches the store itself.
@@ -232,7 +234,7 @@
     }
 
     fn beat_away(&mut self, now: Moment, out: &mut Vec<Output>) {
-        self.beat_away_at = now + BEAT_AWAY;
+        self.beat_away_at = now + if self.watching { BEAT_AWAY_WATCHING } else { BEAT_AWAY };
         if self.members.is_lead(now) {
             let frame = Frame::Beat(self.own_beat(now, false));
             self.tell_leads(now, &frame, out);
