Tell slow versions by all their upstreams together, without what load and pace add

Change: times are divided by what the upstream's load and pace made expected; overtaken exchanges count if they were slow; the judge has a test over all upstreams for such times.

--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -318,7 +318,9 @@
             trial: self.calls[key].trial,
             cold: chosen.cold,
         };
-        let pace = upstream.gauge.pace(now);
+        let route = self.routes.arena.get(self.calls[key].route);
+        let usual = route.map_or(1.0, |route| route.service_time.max(1.0));
+        let time = upstream.gauge.time(now, upstream.slots, usual, chosen.cold);
         upstream.gauge.own += 1;
         upstream.sends.count(now);
         self.stats.cold_sends += u64::from(chosen.cold);
@@ -329,7 +331,7 @@
             arrived: false,
             start: now,
             cold: chosen.cold,
-            pace,
+            stretch: time / usual,
         });
         let call = &mut self.calls[key];
         call.tried.push(chosen.upstream);
--- a/crates/gateway/src/engine/outcome.rs
+++ b/crates/gateway/src/engine/outcome.rs
@@ -94,6 +94,7 @@
 
     /// Ends a call with the answer of one of its exchanges.
     fn pass(&mut self, now: Moment, key: key::Call, out: &mut Vec<Output>) {
+        self.witness_overtaken(now, key);
         let Some(call) = self.end_call(key) else { return };
         self.end_exchanges(now, key, Event::Left, out);
         self.acquit(now, call.digest, out);
@@ -164,7 +165,7 @@
         if !exchange.cold
             && let Some(call) = self.calls.get(exchange.call)
         {
-            let taken = now.since(exchange.start).0 as f64 / exchange.pace.max(0.5);
+            let taken = now.since(exchange.start).0 as f64 / exchange.stretch.max(0.5);
             self.routes.sample(call.route, taken);
         }
     }
--- a/crates/gateway/src/engine/trials.rs
+++ b/crates/gateway/src/engine/trials.rs
@@ -13,6 +13,10 @@
 const MOST_ROWS: usize = 64;
 /// Time for which an end that is not written is left to the next node in turn.
 const TURN: Span = Span::seconds(2);
+/// Usual times of the work after which an exchange that is overtaken counts as slow.
+const SLOW: f64 = 1.5;
+/// Time that counts for an exchange that another one has overtaken, in microseconds.
+const OVERTAKEN: f64 = 60e6;
 /// Time between two frames of evidence.
 const REPORT: Span = Span::millis(400);
 
@@ -66,7 +70,7 @@
             state: self.charts.trial.initial(),
             since: now,
             credit: 0.0,
-            judge: Judge::default(),
+            judge: Judge::pooled(),
             written: false,
             wrote_at: None,
         });
@@ -169,6 +173,12 @@
 
     /// Counts an answer, or its absence, for the trial of its service.
     pub(super) fn witness(&mut self, now: Moment, exchange: &Exchange, failed: bool) {
+        // What load, slow neighbours or a cold start stretch says nothing of the version.
+        let taken = now.since(exchange.start).0 as f64 / exchange.stretch.max(0.5);
+        self.witness_time(exchange, failed, (!exchange.cold).then_some(taken));
+    }
+
+    fn witness_time(&mut self, exchange: &Exchange, failed: bool, time: Option<f64>) {
         let Some(upstream) = self.upstreams.get(exchange.upstream) else { return };
         let Some(trial) = &self.services[upstream.service].trial else { return };
         if !matches!(trial.state, State::Trying | State::Switching) {
@@ -182,10 +192,23 @@
             route: route.map_or(0, |route| route.ident),
             upstream: if new { upstream.ident } else { 0 },
         };
-        // Work that a slow neighbour or a cold start stretches says nothing of the version.
-        let taken = now.since(exchange.start).0 as f64 / exchange.pace.max(0.5);
-        let service = (!exchange.cold).then_some(taken);
-        self.tallies.entry(trial.ident).or_default().tallies.add(place, failed, service);
+        self.tallies.entry(trial.ident).or_default().tallies.add(place, failed, time);
+    }
+
+    /// Counts the exchanges of a call that another one has overtaken, if they had taken longer than
+    /// usual: how long they would have taken is not known.
+    pub(super) fn witness_overtaken(&mut self, now: Moment, key: key::Call) {
+        let Some(call) = self.calls.get(key) else { return };
+        let route = self.routes.arena.get(call.route);
+        let usual = route.map_or(f64::MAX, |route| route.service_time);
+        let of_call = self.exchanges.values().filter(|exchange| exchange.call == key);
+        let slow = of_call.filter(|exchange| {
+            let taken = now.since(exchange.start).0 as f64;
+            exchange.arrived && taken > SLOW * usual * exchange.stretch.max(0.5)
+        });
+        for exchange in slow.copied().collect::<Vec<_>>() {
+            self.witness_time(&exchange, false, Some(OVERTAKEN));
+        }
     }
 
     /// Moves the trials that this node drives, and tells the drivers of the others.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -104,7 +104,7 @@
         pub start: Moment,
         /// Whether the upstream was in a cold start.
         pub cold: bool,
-        /// How much slower than usual work was there, as last told.
-        pub pace: f64,
+        /// How much longer than usual it was expected to take.
+        pub stretch: f64,
     }
 }
--- a/crates/gateway/src/gauge.rs
+++ b/crates/gateway/src/gauge.rs
@@ -14,6 +14,8 @@
 pub const KNEE: f64 = 0.8;
 /// How much slower a nearly full upstream is.
 const KNEE_FACTOR: f64 = 1.7;
+/// Cost of each share of an upstream's slots that is taken, in usual times of the work.
+const CROWDING: f64 = 0.1;
 /// How much slower an upstream in a cold start is.
 const COLD_FACTOR: f64 = 2.0;
 /// Time in which the share of failed answers loses most of its weight.
@@ -136,7 +138,7 @@
 
     /// Estimates the time of one more request whose usual work takes `service` microseconds.
     #[must_use]
-    pub fn cost(&self, now: Moment, slots: u32, service: f64, cold: bool) -> f64 {
+    pub fn time(&self, now: Moment, slots: u32, service: f64, cold: bool) -> f64 {
         let slots = f64::from(slots.max(1));
         let load = self.load(now);
         let mut time = service * self.pace(now);
@@ -147,10 +149,16 @@
             time *= COLD_FACTOR;
         }
         let queued = (load + 1.0 - slots).max(0.0);
-        let wait = queued / slots * time;
+        time + queued / slots * time
+    }
+
+    /// Estimates the cost of one more request: its time, and what may come of it.
+    #[must_use]
+    pub fn cost(&self, now: Moment, slots: u32, service: f64, cold: bool) -> f64 {
         // Load is stale, so a free slot is worth more where many are free.
-        let crowding = 0.1 * service * load / slots;
-        time + wait + crowding + FAILURE_COST * service * self.failure_share(now)
+        let crowding = CROWDING * service * self.load(now) / f64::from(slots.max(1));
+        let failing = FAILURE_COST * service * self.failure_share(now);
+        self.time(now, slots, service, cold) + crowding + failing
     }
 }
 
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -12,6 +12,10 @@
 const FOUND: f64 = 16.0;
 /// Sum at which a test gives cause for doubt.
 const DOUBT: f64 = 8.0;
+/// The same for the test of slowness over all upstreams.
+const FOUND_ALL: f64 = 10.0;
+/// The same for its doubt.
+const DOUBT_ALL: f64 = 4.0;
 /// Part of a sum that each of most upstreams has to reach for slowness to be the version's.
 const MOST_PART: f64 = 4.0;
 /// Failures that a good version may have beyond those of the old one, as a share.
@@ -22,10 +26,19 @@
 const SLOW_TAIL: f64 = 0.1;
 /// Share of slow answers of a slow version.
 const SLOW_BAD: f64 = 0.45;
+/// Share of slow answers that a good version has at the least, over all upstreams.
+const SLOW_LEAST: f64 = 0.06;
+/// Share of slow answers of a bad version at the least, over all upstreams.
+const SLOW_SOME: f64 = 0.22;
+/// How many times more slow answers than the old one a bad version has, over all upstreams.
+const SLOW_MORE: f64 = 2.5;
+/// Share of slow answers of the old version up to which a slow one can be told from it.
+const SLOW_MOST: f64 = 0.25;
 /// Answers of the old version that are needed to say what is slow.
 const SLOW_BASIS: u32 = 100;
-/// What remains of the old version's counts at each look, so that they follow its load.
-const FADE: f64 = 0.98;
+/// What remains of the old version's counts after each further answer, so that they follow its
+/// load however many answers a look brings.
+const FADE: f64 = 0.997;
 
 /// What the evidence says.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -47,6 +60,10 @@
     failing: BTreeMap<u64, BTreeMap<u64, f64>>,
     /// Sums of the tests of slowness, by upstream.
     slow: BTreeMap<u64, f64>,
+    /// Whether times are free of what single upstreams add, so that all count together.
+    pooled: bool,
+    /// Sum of a test of slowness over all upstreams, each of which may have few answers.
+    slow_all: f64,
     samples: u32,
     telling: u32,
 }
@@ -60,6 +77,14 @@
 }
 
 impl Judge {
+    /// Makes the tests for times from which the upstreams' own load and pace were taken out.
+    ///
+    /// Slow answers then tell of the version, whichever upstream gives them.
+    #[must_use]
+    pub fn pooled() -> Self {
+        Self { pooled: true, ..Self::default() }
+    }
+
     /// Takes in rows of one member; the first of a row is where its counting starts.
     pub fn take(&mut self, member: u64, rows: &[Row], from_start: bool) {
         for row in rows {
@@ -92,10 +117,10 @@
         if failing >= FOUND {
             return Finding::Bad(Verdict::Failing);
         }
-        if self.most_are_slow(FOUND) {
+        if self.most_are_slow(FOUND) || self.all_are_slow(FOUND_ALL) {
             return Finding::Bad(Verdict::Slow);
         }
-        let doubt = failing >= DOUBT || self.most_are_slow(DOUBT);
+        let doubt = failing >= DOUBT || self.most_are_slow(DOUBT) || self.all_are_slow(DOUBT_ALL);
         if doubt { Finding::Doubtful } else { Finding::Clear }
     }
 
@@ -105,6 +130,12 @@
         slow * 2 > self.slow.len() && common(&self.slow) >= bound
     }
 
+    /// Tells whether the version is slow beyond what its slowest upstream adds.
+    fn all_are_slow(&self, bound: f64) -> bool {
+        let slowest = self.slow.values().copied().fold(0.0, f64::max);
+        self.pooled && self.slow.len() > 1 && self.slow_all - slowest.min(self.slow_all / 2.0) >= bound
+    }
+
     fn weigh(&mut self, place: Place, delta: &Tally) {
         if delta.count == 0 {
             return;
@@ -136,17 +167,22 @@
         let slow: u32 = delta.times[bound..].iter().sum();
         let count: u32 = delta.times.iter().sum();
         let step = log_likelihood(slow, count, share.max(SLOW_TAIL), SLOW_BAD);
+        let good = share.max(SLOW_LEAST);
+        let bad = (good * SLOW_MORE).max(SLOW_SOME);
+        let all = log_likelihood(slow, count, good, bad);
         let sum = self.slow.entry(place.upstream).or_insert(0.0);
         *sum = (*sum + step).max(0.0);
+        self.slow_all = (self.slow_all + all).max(0.0);
     }
 }
 
 impl Basis {
     fn add(&mut self, delta: &Tally) {
-        self.count = self.count * FADE + f64::from(delta.count);
-        self.failed = self.failed * FADE + f64::from(delta.failed);
+        let left = FADE.powf(f64::from(delta.count));
+        self.count = self.count * left + f64::from(delta.count);
+        self.failed = self.failed * left + f64::from(delta.failed);
         for (old, new) in self.times.iter_mut().zip(delta.times) {
-            *old = *old * FADE + f64::from(new);
+            *old = *old * left + f64::from(new);
         }
     }
 
@@ -165,7 +201,10 @@
         for bucket in (1..BUCKETS).rev() {
             let next = above + self.times[bucket] / all;
             if next > SLOW_TAIL {
-                return (bucket + 1 < BUCKETS).then_some((bucket + 1, above));
+                // Where even the slowest bucket holds more, it is the bound as long as it tells.
+                let last = bucket + 1 == BUCKETS;
+                let bound = if last { (bucket, next) } else { (bucket + 1, above) };
+                return (bound.1 <= SLOW_MOST).then_some(bound);
             }
             above = next;
         }
