Pass proofs of the store on at once, and ask the store anew on a fresh connection

Change: a proof goes on when it comes, watches are timed from proof to proof, watching takes over after 1.25 s, on a fresh connection.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -241,6 +241,8 @@
     watch_until: Moment,
     beat_at: Moment,
     beat_away_at: Moment,
+    /// The proof that this domain was told last.
+    proof_told: Option<Moment>,
     hailed_at: Option<Moment>,
     leaving: bool,
     tallies: BTreeMap<u64, trials::Ledger>,
@@ -287,6 +289,7 @@
             watch_until: now,
             beat_at: now,
             beat_away_at: now,
+            proof_told: None,
             hailed_at: None,
             leaving: false,
             tallies: BTreeMap::new(),
@@ -301,7 +304,9 @@
             Input::Facts { kind, batch, asked_at } => {
                 self.read_facts(now, kind, &batch, asked_at, out);
             }
-            Input::Current { kind, at, asked_at } => self.read_current(kind, at, asked_at),
+            Input::Current { kind, at, asked_at } => {
+                self.read_current(now, kind, at, asked_at, out);
+            }
             Input::Request(request) => self.admit(now, request, out),
             Input::Exchange { exchange, event, report } => {
                 self.exchange_event(now, exchange, event, report, out);
--- a/crates/gateway/src/engine/facts.rs
+++ b/crates/gateway/src/engine/facts.rs
@@ -138,11 +138,22 @@
     }
 
     /// Notes that the store has nothing newer.
-    pub(super) fn read_current(&mut self, kind: Kind, at: u64, asked_at: Moment) {
+    pub(super) fn read_current(
+        &mut self,
+        now: Moment,
+        kind: Kind,
+        at: u64,
+        asked_at: Moment,
+        out: &mut Vec<Output>,
+    ) {
         let view = self.views.entry(kind).or_default();
-        if view.at > 0 {
-            view.advance(at);
-            view.prove(asked_at);
+        if view.at == 0 {
+            return;
+        }
+        view.advance(at);
+        view.prove(asked_at);
+        if kind == Kind::Upstreams && self.members.is_reader(now) {
+            self.beat(now, out);
         }
     }
 
--- a/crates/gateway/src/engine/peers.rs
+++ b/crates/gateway/src/engine/peers.rs
@@ -8,16 +8,14 @@
 
 /// Time between signs of life of a node within its domain.
 const BEAT: Span = Span::millis(700);
-/// The same of a lead, which passes on how current the facts are.
-const BEAT_LEAD: Span = Span::millis(300);
 /// Time between signs of life among leads.
 const BEAT_AWAY: Span = Span::millis(1_000);
-/// The same of a lead that watches the store, whose word has to be fresh.
-const BEAT_AWAY_WATCHING: Span = Span::millis(400);
 /// Time between greetings to the addresses of the settings while no other node is known.
 const HAIL: Span = Span::seconds(1);
 /// Age of the newest proof from which on a node watches the store itself.
-const PROOF_OLD: Span = Span::millis(1_550);
+const PROOF_OLD: Span = Span::millis(1_250);
+/// How much fresher a proof has to be to be passed on at once.
+const PROOF_FRESHER: Span = Span::millis(250);
 /// Time for which a node goes on watching once nobody else seemed to.
 const WATCH_LEAST: Span = Span::seconds(2);
 /// Time after the start in which nodes find each other before any of them watches.
@@ -103,17 +101,31 @@
                 self.members.hear_digest(now, digest);
             }
         } else if beat.lead {
-            let live = beat.domains.into_iter().next().map(|digest| digest.live);
+            let live = beat.domains.first().map(|digest| digest.live.clone());
             self.members.hear_lead(now, from, live.unwrap_or_default());
         }
         self.ask_for_unknown(now, from, out);
         if !near && !self.members.is_lead(now) {
             self.tell_lead(now, from, out);
         }
+        if fresh && !near && beat.lead && self.members.is_lead(now) {
+            let reply = Frame::Beat(self.own_beat(now, false));
+            out.push(Output::Frame { to: from, frame: reply });
+        }
         self.hear_proofs(now, from, &beat.proofs, out);
         for progress in &beat.trials {
             self.hear_progress(now, progress, out);
         }
+        let fresher = self.proven_at() >= self.proof_told.map(|at| at + PROOF_FRESHER);
+        if !near && fresher && self.members.is_lead(now) {
+            self.beat_near(now, out);
+        }
+    }
+
+    /// Returns the latest time at which what is known of upstreams was current.
+    fn proven_at(&self) -> Option<Moment> {
+        // This kind changes most, so its readers ask most often; their word holds for all kinds.
+        self.views.get(&Kind::Upstreams).and_then(|view| view.proven_at)
     }
 
     /// Asks who the nodes are that another domain names and this node does not know.
@@ -227,14 +239,14 @@
     }
 
     fn beat_near(&mut self, now: Moment, out: &mut Vec<Output>) {
-        let lead = self.members.is_lead(now);
-        self.beat_at = now + if lead || self.watching { BEAT_LEAD } else { BEAT };
+        self.beat_at = now + BEAT;
+        self.proof_told = self.proven_at();
         let frame = Frame::Beat(self.own_beat(now, true));
         self.tell_near(now, &frame, out);
     }
 
     fn beat_away(&mut self, now: Moment, out: &mut Vec<Output>) {
-        self.beat_away_at = now + if self.watching { BEAT_AWAY_WATCHING } else { BEAT_AWAY };
+        self.beat_away_at = now + BEAT_AWAY;
         if self.members.is_lead(now) {
             let frame = Frame::Beat(self.own_beat(now, false));
             self.tell_leads(now, &frame, out);
@@ -278,8 +290,7 @@
         if now.since(self.started_at) < MEET && !self.leaving {
             return;
         }
-        // This kind changes most, so its readers ask most often; their word holds for all kinds.
-        let proven = self.views.get(&Kind::Upstreams).and_then(|view| view.proven_at);
+        let proven = self.proven_at();
         let old = proven.is_none_or(|at| now.since(at) >= PROOF_OLD);
         if old {
             self.watch_until = now + WATCH_LEAST;
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -16,7 +16,9 @@
 use crate::steer::{Message, Way};
 
 /// Time for which a watch of the kind that proves the store's presence waits.
-const WAIT_PROOF: Duration = Duration::from_millis(700);
+const WAIT_PROOF: Span = Span::millis(700);
+/// The least that such a watch waits.
+const WAIT_LEAST: Span = Span::millis(100);
 /// Time for which the other watches wait.
 const WAIT: Duration = Duration::from_secs(15);
 /// First pause after a failure.
@@ -46,6 +48,8 @@
     after: u64,
     /// Revision that an answer without changes named, which the next one may confirm.
     quiet: Option<u64>,
+    /// When what is known was last known to be current.
+    proven_at: Moment,
     lost_at: Option<Moment>,
     pause: Span,
 }
@@ -54,7 +58,17 @@
     /// Makes the task's state.
     #[must_use]
     pub fn new(store: R, kind: Kind, steer: Way, watching: watch::Receiver<bool>) -> Self {
-        Self { store, kind, steer, watching, after: 0, quiet: None, lost_at: None, pause: PAUSE }
+        Self {
+            store,
+            kind,
+            steer,
+            watching,
+            after: 0,
+            quiet: None,
+            proven_at: Moment::default(),
+            lost_at: None,
+            pause: PAUSE,
+        }
     }
 
     /// Runs the task until the decisions end.
@@ -70,6 +84,8 @@
                 };
                 self.after = known;
                 self.quiet = None;
+                // The connection may have gone silent while nothing was asked on it.
+                self.store = self.store.another();
                 continue;
             }
             let asked_at = clock::now();
@@ -101,12 +117,22 @@
         let batch = Batch { after: None, at, outage, items };
         self.steer.post(Message::Facts { kind: self.kind, batch, asked_at });
         self.after = at;
+        self.proven_at = asked_at;
         self.quiet = None;
         Ok(())
     }
 
+    /// Returns for how long the next watch waits, so that the next proof comes in time.
+    fn wait(&self, now: Moment) -> Duration {
+        if self.kind != Kind::Upstreams {
+            return WAIT;
+        }
+        let left = WAIT_PROOF.0.saturating_sub(now.since(self.proven_at).0);
+        Span(left).max(WAIT_LEAST).into()
+    }
+
     async fn watch(&mut self, asked_at: Moment) -> Result<(), Error> {
-        let wait = if self.kind == Kind::Upstreams { WAIT_PROOF } else { WAIT };
+        let wait = self.wait(asked_at);
         let mut watching = self.watching.clone();
         let read = tokio::select! {
             read = self.store.watch(self.kind, self.after, wait) => read?,
@@ -119,6 +145,7 @@
             // The store has waited that long before it said that nothing is there.
             let proven_at = asked_at + wait.into();
             let asked_at = if proven_at <= clock::now() { proven_at } else { asked_at };
+            self.proven_at = asked_at;
             self.steer.post(Message::Current { kind, at: self.after, asked_at });
             // A watch may have missed what came just before its end; the next one starts before
             // that, and the store's history still has it.
@@ -128,6 +155,8 @@
             return Ok(());
         }
         let batch = Batch { after: Some(self.after), at, outage: false, items };
+        // When the store said so is not known better.
+        self.proven_at = asked_at;
         self.after = at;
         self.quiet = None;
         self.steer.post(Message::Facts { kind, batch, asked_at });
