Try target versions under load, and weigh failures and slowness of all upstreams together

Ruled out: packing the whole trial on one upstream, which the judge leaves out as the worst one. Change: a third of the allowed share comes in bursts of 300 ms at few upstreams, another order each time; the pooled tests of failures by route and of slowness add up.

--- a/crates/gateway/src/engine/call.rs
+++ b/crates/gateway/src/engine/call.rs
@@ -6,6 +6,7 @@
 
 use super::{Engine, Input, Output};
 use crate::exchange::Event;
+use crate::trial::Draw;
 
 /// Time that a caller should wait after a node had no table or no upstream.
 const RETRY_UNKNOWN: Span = Span::millis(200);
@@ -37,8 +38,8 @@
         pub route: key::Route,
         /// The service that its route's weights gave it.
         pub service: key::Service,
-        /// Whether it goes to the target version of a trial, if there is one.
-        pub trial: bool,
+        /// Whether it goes to the target version of a trial.
+        pub trial: Draw,
         /// Whether it may run more than once.
         pub idempotent: bool,
         /// When it arrived.
@@ -141,7 +142,7 @@
         let service = self.routes.choose(key).ok_or(Refusal::NoUpstream)?;
         let nodes = self.members.known();
         self.services[service].budget.earn(now, &self.terms, nodes);
-        let trial = self.draw_trial(service);
+        let trial = self.draw_trial(now, service);
         let route = &self.routes.arena[key];
         let time = request.patience.map_or(route.timeout, |time| time.min(route.timeout));
         let call = self.calls.insert(Call {
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -1,5 +1,6 @@
 //! Choosing an upstream for a call, after asking the likely ones how they are.
 
+use base::hash::mix;
 use base::prelude::*;
 use rand::RngExt;
 
@@ -7,6 +8,7 @@
 use crate::cold;
 use crate::exchange::Exchange;
 use crate::gauge::KNEE;
+use crate::trial::Draw;
 use crate::upstream::{State, Upstream};
 
 /// Age from which on a report is renewed before it decides.
@@ -29,6 +31,8 @@
 const LESS_URGENT_PART: f64 = 0.8;
 /// Rank from which on routes count as less urgent.
 const LESS_URGENT: u32 = 2;
+/// Range of the costs that order the upstreams of a burst, all below any time in microseconds.
+const BURST_ORDER: u64 = 1_000;
 /// Share of calls that go to a cold upstream of the own domain that may have one.
 const TRY_COLD: f64 = 0.5;
 
@@ -79,10 +83,10 @@
             return self.refuse_if_alone(key, Refusal::LateUnsent, out);
         }
         let mut candidates = self.candidates(now, key);
-        if candidates.is_empty() && self.calls[key].trial {
+        if candidates.is_empty() && self.calls[key].trial != Draw::Old {
             // The target version has no room; the old one serves instead.
             let service = self.calls[key].service;
-            self.calls[key].trial = false;
+            self.calls[key].trial = Draw::Old;
             self.restore_trial(service);
             candidates = self.candidates(now, key);
         }
@@ -262,6 +266,22 @@
         }
         cost += if near { 0.0 } else { AWAY_COST * route.target.0 as f64 };
         cost *= if upstream.ill { 2.0 } else { 1.0 };
+        if let Draw::Burst(burst) = call.trial {
+            // All nodes go through the upstreams in the same order, so that some get load.
+            cost = (mix(upstream.ident ^ mix(burst)) % BURST_ORDER) as f64;
+            if upstream.gauge.load(now) + 1.0 > f64::from(upstream.slots) {
+                return None;
+            }
+            return Some(Candidate {
+                upstream: at,
+                cost,
+                old: unproven,
+                unproven,
+                room,
+                cold,
+                near,
+            });
+        }
         if cold && near && self.rng.random_bool(TRY_COLD) {
             cost *= 0.5;
         }
@@ -315,7 +335,7 @@
             pace: upstream.gauge.pace,
             options,
             table: self.table_version,
-            trial: self.calls[key].trial,
+            trial: self.calls[key].trial != Draw::Old,
             cold: chosen.cold,
         };
         let route = self.routes.arena.get(self.calls[key].route);
--- a/crates/gateway/src/engine/outcome.rs
+++ b/crates/gateway/src/engine/outcome.rs
@@ -6,6 +6,7 @@
 use crate::exchange::{Action, Event, Exchange, State};
 use crate::gauge::Report;
 use crate::message::Frame;
+use crate::trial::Draw;
 use crate::upstream;
 
 /// Failed answers in a row after which an upstream is left alone for a while.
@@ -137,7 +138,7 @@
             self.calls[key].repeats += 1;
             self.stats.retries += 1;
             // A trial's failure must not cost the caller a second time.
-            self.calls[key].trial = false;
+            self.calls[key].trial = Draw::Old;
             return self.place(now, key, out);
         }
         self.pass(now, key, out);
--- a/crates/gateway/src/engine/trials.rs
+++ b/crates/gateway/src/engine/trials.rs
@@ -3,11 +3,12 @@
 use base::prelude::*;
 use model::registry::{Phase, Rollout};
 use policy::rollout::{Arm, Judge, Place, Row, Tallies};
+use rand::RngExt;
 
 use super::{Call, Engine, Note, Output};
 use crate::exchange::Exchange;
 use crate::message::Frame;
-use crate::trial::{self, Action, Event, Progress, State, Trial};
+use crate::trial::{self, Action, Draw, Event, Progress, State, Trial};
 
 /// Rows of evidence in one frame.
 const MOST_ROWS: usize = 64;
@@ -69,7 +70,7 @@
             duration: rollout.duration,
             state: self.charts.trial.initial(),
             since: now,
-            credit: 0.0,
+            credit: self.rng.random_range(0.0..1.0),
             judge: Judge::pooled(),
             written: false,
             wrote_at: None,
@@ -131,14 +132,17 @@
         }));
     }
 
-    /// Tells whether the next request of a service goes to the target version of its trial.
-    pub(super) fn draw_trial(&mut self, key: key::Service) -> bool {
+    /// Draws whether the next request of a service goes to the target version of its trial.
+    pub(super) fn draw_trial(&mut self, now: Moment, key: key::Service) -> Draw {
         let allowed = self.terms.trial_share;
         let service = &mut self.services[key];
         let target = service.trial.as_ref().map(|trial| trial.target);
         let upstreams = &self.upstreams;
         let present = service.upstreams.iter().any(|at| Some(upstreams[*at].version) == target);
-        present && service.trial.as_mut().is_some_and(|trial| trial.draw(allowed))
+        match service.trial.as_mut().filter(|_| present) {
+            Some(trial) => trial.draw(now, allowed),
+            None => Draw::Old,
+        }
     }
 
     /// Gives back a request that the target version had no room for.
@@ -153,7 +157,7 @@
         let service = &self.services[call.service];
         if let Some(trial) = &service.trial {
             return match trial.state {
-                State::Trying => (version == trial.target) == call.trial,
+                State::Trying => (version == trial.target) == (call.trial != Draw::Old),
                 State::Switching | State::Finished => {
                     version == trial.target || !self.is_present(call.service, trial.target)
                 }
@@ -282,13 +286,7 @@
         }
     }
 
-    fn report_evidence(
-        &mut self,
-        now: Moment,
-        trial: u64,
-        driver: u64,
-        out: &mut Vec<Output>,
-    ) {
+    fn report_evidence(&mut self, now: Moment, trial: u64, driver: u64, out: &mut Vec<Output>) {
         let Some(ledger) = self.tallies.get_mut(&trial) else { return };
         if ledger.driver != driver {
             ledger.driver = driver;
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -4,8 +4,15 @@
 use base::prelude::*;
 use policy::rollout::{Finding, Judge};
 
-/// Part of the allowed share that a trial uses.
-const SHARE_PART: f64 = 0.65;
+/// Part of the allowed share that a trial uses, spread over its time and its upstreams.
+const SPREAD_PART: f64 = 0.25;
+/// Part of the allowed share that comes in short bursts at few upstreams, as some versions are bad
+/// under load only.
+const BURST_PART: f64 = 0.35;
+/// Length of a burst.
+const BURST: Span = Span::millis(300);
+/// Time from one burst to the next.
+const PERIOD: Span = Span::millis(2_500);
 /// Part of a trial's time after which it may end well.
 const TRY_PART: f64 = 0.78;
 /// Part of a trial's time after which less evidence is enough.
@@ -16,6 +23,8 @@
 const ENOUGH: u32 = 60;
 /// Answers that are enough later.
 const ENOUGH_LATE: u32 = 15;
+/// Requests that may be saved up for the target version.
+const MOST_CREDIT: f64 = 1.5;
 /// Time between the switch and its end, in which nodes follow and badness under load shows.
 pub const SETTLE: Span = Span::millis(800);
 /// Time between two tries to write the end.
@@ -61,6 +70,18 @@
     }
 }
 
+value! {
+    /// Where a request of a service on trial goes.
+    pub enum Draw {
+        /// To the versions that serve anyway.
+        Old,
+        /// To any upstream of the target version.
+        Spread,
+        /// To the first upstream of the target version with room, in the order of a burst.
+        Burst(u64),
+    }
+}
+
 record! {
     /// How far a node sees a trial.
     #[derive(Copy)]
@@ -95,7 +116,7 @@
     pub state: State,
     /// When that began.
     pub since: Moment,
-    /// How far the target version is behind its share, in requests.
+    /// How far the target version is behind its share at this node, in requests.
     pub credit: f64,
     /// The tests, at the driver.
     pub judge: Judge,
@@ -112,30 +133,30 @@
 }
 
 impl Trial {
-    /// Returns the share of requests that the target version gets.
-    #[must_use]
-    pub fn share(&self, allowed: f64) -> f64 {
-        match self.state {
-            State::Trying => allowed * SHARE_PART,
+    /// Draws where the next request goes; `allowed` is the share that a bad version may get.
+    pub fn draw(&mut self, now: Moment, allowed: f64) -> Draw {
+        let age = now.since(self.start).0;
+        let (burst, within) = (age / PERIOD.0, age % PERIOD.0);
+        let bursting = within < BURST.0;
+        let share = match self.state {
+            State::Trying if bursting => {
+                allowed * (SPREAD_PART + BURST_PART * PERIOD.0 as f64 / BURST.0 as f64)
+            }
+            State::Trying => allowed * SPREAD_PART,
             State::Switching | State::Finished => 1.0,
             State::Failed => 0.0,
+        };
+        self.credit = (self.credit + share).min(MOST_CREDIT);
+        if self.credit < 1.0 {
+            return Draw::Old;
         }
-    }
-
-    /// Tells whether the next request goes to the target version.
-    pub fn draw(&mut self, allowed: f64) -> bool {
-        let share = self.share(allowed);
-        self.credit = (self.credit + share).min(2.0);
-        let drawn = self.credit >= 1.0;
-        if drawn {
-            self.credit -= 1.0;
-        }
-        drawn
+        self.credit -= 1.0;
+        if bursting && self.state == State::Trying { Draw::Burst(burst) } else { Draw::Spread }
     }
 
     /// Gives back a request that could not go to the target version.
     pub fn restore(&mut self) {
-        self.credit = (self.credit + 1.0).min(2.0);
+        self.credit = (self.credit + 1.0).min(MOST_CREDIT);
     }
 
     /// Returns what has happened, seen by the driver.
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -30,8 +30,11 @@
 const SLOW_LEAST: f64 = 0.06;
 /// Share of slow answers of a bad version at the least, over all upstreams.
 const SLOW_SOME: f64 = 0.22;
-/// How many times more slow answers than the old one a bad version has, over all upstreams.
-const SLOW_MORE: f64 = 2.5;
+/// Share of failures of a bad version at the least, over all upstreams.
+const FAIL_SOME: f64 = 0.2;
+/// How many times more slow answers or failures than the old one a bad version has, over all
+/// upstreams.
+const MORE: f64 = 2.5;
 /// Share of slow answers of the old version up to which a slow one can be told from it.
 const SLOW_MOST: f64 = 0.25;
 /// Answers of the old version that are needed to say what is slow.
@@ -62,12 +65,21 @@
     slow: BTreeMap<u64, f64>,
     /// Whether times are free of what single upstreams add, so that all count together.
     pooled: bool,
-    /// Sum of a test of slowness over all upstreams, each of which may have few answers.
-    slow_all: f64,
+    /// A test of slowness over all upstreams, each of which may have few answers.
+    slow_pool: Pool,
+    /// The same for failures, by route.
+    failing_pools: BTreeMap<u64, Pool>,
     samples: u32,
     telling: u32,
 }
 
+/// Sums of one test, over all upstreams and of each.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    all: f64,
+    one: BTreeMap<u64, f64>,
+}
+
 /// What the old version does on one route.
 #[derive(Clone, Debug, Default)]
 struct Basis {
@@ -117,10 +129,10 @@
         if failing >= FOUND {
             return Finding::Bad(Verdict::Failing);
         }
-        if self.most_are_slow(FOUND) || self.all_are_slow(FOUND_ALL) {
+        if self.most_are_slow(FOUND) || self.pooled_sum() >= FOUND_ALL {
             return Finding::Bad(Verdict::Slow);
         }
-        let doubt = failing >= DOUBT || self.most_are_slow(DOUBT) || self.all_are_slow(DOUBT_ALL);
+        let doubt = failing >= DOUBT || self.most_are_slow(DOUBT) || self.pooled_sum() >= DOUBT_ALL;
         if doubt { Finding::Doubtful } else { Finding::Clear }
     }
 
@@ -130,10 +142,12 @@
         slow * 2 > self.slow.len() && common(&self.slow) >= bound
     }
 
-    /// Tells whether the version is slow beyond what its slowest upstream adds.
-    fn all_are_slow(&self, bound: f64) -> bool {
-        let slowest = self.slow.values().copied().fold(0.0, f64::max);
-        self.pooled && self.slow.len() > 1 && self.slow_all - slowest.min(self.slow_all / 2.0) >= bound
+    /// Returns what the tests over all upstreams say against the version.
+    ///
+    /// A slow version also fails where answers have to come in time, so both count together.
+    fn pooled_sum(&self) -> f64 {
+        let failing = self.failing_pools.values().map(Pool::common).fold(0.0, f64::max);
+        if self.pooled { self.slow_pool.common() + failing } else { 0.0 }
     }
 
     fn weigh(&mut self, place: Place, delta: &Tally) {
@@ -156,6 +170,9 @@
         let good = (share + SLACK).min(0.9);
         let bad = (good * 2.0).max(good + BAD_MORE).min(0.99);
         let step = log_likelihood(delta.failed, delta.count, good, bad);
+        let some = (good * MORE).clamp(FAIL_SOME, 0.95);
+        let all = log_likelihood(delta.failed, delta.count, good, some);
+        self.failing_pools.entry(place.route).or_default().add(place.upstream, all);
         let route = self.failing.entry(place.route).or_default();
         let sum = route.entry(place.upstream).or_insert(0.0);
         *sum = (*sum + step).max(0.0);
@@ -168,11 +185,25 @@
         let count: u32 = delta.times.iter().sum();
         let step = log_likelihood(slow, count, share.max(SLOW_TAIL), SLOW_BAD);
         let good = share.max(SLOW_LEAST);
-        let bad = (good * SLOW_MORE).max(SLOW_SOME);
+        let bad = (good * MORE).max(SLOW_SOME);
         let all = log_likelihood(slow, count, good, bad);
         let sum = self.slow.entry(place.upstream).or_insert(0.0);
         *sum = (*sum + step).max(0.0);
-        self.slow_all = (self.slow_all + all).max(0.0);
+        self.slow_pool.add(place.upstream, all);
+    }
+}
+
+impl Pool {
+    fn add(&mut self, upstream: u64, step: f64) {
+        self.all = (self.all + step).max(0.0);
+        let one = self.one.entry(upstream).or_insert(0.0);
+        *one = (*one + step).max(0.0);
+    }
+
+    /// Returns what is left without the upstream that adds most.
+    fn common(&self) -> f64 {
+        let worst = self.one.values().copied().fold(0.0, f64::max);
+        if self.one.len() > 1 { (self.all - worst).max(0.0) } else { 0.0 }
     }
 }
 
