--- /dev/null
+++ b/crates/gateway/tests/once.rs
@@ -0,0 +1,85 @@
+//! Tests that a request which may run once is sent on only if it certainly has not run.
+
+mod common;
+
+use base::derive::Symbol;
+use common::{World, upstream};
+use gateway::engine::{Input, Outcome, Output};
+use gateway::exchange::Event;
+
+/// Events after which a request may have run.
+const MAY_HAVE_RUN: [Event; 4] = [Event::Answered, Event::Failed, Event::Broken, Event::Late];
+
+/// Plays one sequence of events on the newest exchange; returns how many may have run.
+fn play(path: &str, events: &[Event]) -> (u32, Vec<Outcome>) {
+    let all = ["e1", "e2", "e3", "e4"].map(|id| upstream(id, "east"));
+    let mut world = World::new(&all);
+    let mut newest = world.place(path).map(|(exchange, _)| exchange);
+    let mut ran = 0;
+    for event in events {
+        let Some(exchange) = newest else { break };
+        let live = world.engine.call_of(exchange).is_some();
+        world.happen(exchange, Event::Sent);
+        world.happen(exchange, *event);
+        ran += u32::from(live && MAY_HAVE_RUN.contains(event));
+        world.answer_well();
+        newest = world.sends().pop().map(|(exchange, _)| exchange);
+    }
+    let outcome = |one: &Output| match one {
+        Output::Refuse { outcome, .. } => Some(*outcome),
+        _ => None,
+    };
+    let outcomes = world.out.iter().filter_map(outcome).collect();
+    (ran, outcomes)
+}
+
+#[test]
+fn exchange_once_runs_at_most_once() {
+    for first in Event::ALL {
+        for second in Event::ALL {
+            for third in Event::ALL {
+                let (ran, outcomes) = play("/write/1", &[*first, *second, *third]);
+                assert!(ran <= 1, "{first:?} {second:?} {third:?}: {ran}");
+                let promised = outcomes.contains(&Outcome::NotRun);
+                assert!(!(promised && ran > 0), "{first:?} {second:?} {third:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn exchange_idempotent_is_tried_again() {
+    let all = ["e1", "e2", "e3"].map(|id| upstream(id, "east"));
+    let mut world = World::new(&all);
+    // The budget of retries is earned by requests.
+    for number in 0..12 {
+        let (exchange, _) = world.place(&format!("/read/{number}")).expect("a place");
+        world.happen(exchange, Event::Sent);
+        world.happen(exchange, Event::Answered);
+        world.pass(base::time::Span::millis(150));
+    }
+    let (exchange, first) = world.place("/read/x").expect("a place");
+    world.happen(exchange, Event::Sent);
+    world.happen(exchange, Event::Broken);
+    world.answer_well();
+    let (_, second) = world.sends().pop().expect("another place");
+    assert_ne!(first, second);
+}
+
+#[test]
+fn late_tells_what_may_have_run() {
+    for (sent, outcome) in [(true, Outcome::Unknown), (false, Outcome::NotRun)] {
+        let mut world = World::new(&[upstream("e1", "east")]);
+        let (exchange, _) = world.place("/write/1").expect("a place");
+        let call = world.engine.call_of(exchange).expect("in progress");
+        if sent {
+            world.happen(exchange, Event::Sent);
+        }
+        world.feed(Input::Late(call));
+        let told = world.out.iter().find_map(|one| match one {
+            Output::Refuse { outcome, .. } => Some(*outcome),
+            _ => None,
+        });
+        assert_eq!(told, Some(outcome));
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/trial.rs
@@ -0,0 +1,131 @@
+//! Tests of rollouts: good versions end in time, bad ones get little and nothing in the end.
+
+mod common;
+
+use base::prelude::*;
+use common::{World, upstream};
+use gateway::engine::{Input, Order, Output};
+use gateway::exchange::Event;
+use model::registry::{Phase, Rollout};
+
+/// What is wrong with the target version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Badness {
+    None,
+    Fails,
+    FailsLate,
+    Slow,
+}
+
+/// Time that the operator gives.
+const DURATION: Span = Span::seconds(14);
+/// Requests a second at this node, which plays all nodes.
+const RATE: u64 = 100;
+
+struct Ended {
+    orders: Vec<Order>,
+    exposed: u64,
+    requests: u64,
+}
+
+/// Plays a rollout to its deadline.
+fn play(badness: Badness) -> Ended {
+    let mut all: Vec<_> = (0..9).map(|number| upstream(&format!("a{number}"), "east")).collect();
+    all.extend((0..9).map(|number| {
+        let id = format!("b{number}");
+        model::registry::Upstream { version: "v2".into(), ..upstream(&id, "east") }
+    }));
+    // The old version was there before.
+    let (old, new) = all.split_at(9);
+    let mut world = World::new(old);
+    let target = "v2".to_owned();
+    world.rollout(Rollout {
+        service: "stock".into(),
+        target,
+        duration: DURATION,
+        phase: Phase::Running,
+    });
+    let facts = new.iter().map(|one| {
+        (one.id.as_str(), Some(model::registry::Fact::Upstream(one.clone())))
+    });
+    world.facts(model::registry::Kind::Upstreams, facts.collect());
+    let start = world.now;
+    let mut running: Vec<(Moment, key::Attempt, Event)> = Vec::new();
+    let mut ended = Ended { orders: Vec::new(), exposed: 0, requests: 0 };
+    while world.now.since(start) < DURATION {
+        world.now = world.now + Span::millis(1_000 / RATE);
+        let now = world.now;
+        let (done, left): (Vec<_>, Vec<_>) = running.into_iter().partition(|one| one.0 <= now);
+        running = left;
+        for (_, exchange, event) in done {
+            world.happen(exchange, event);
+        }
+        ended.requests += 1;
+        let number = ended.requests;
+        world.request(if number % 3 == 0 { "/write/1" } else { "/read/1" });
+        world.answer_well();
+        for (exchange, id) in world.sends() {
+            world.happen(exchange, Event::Sent);
+            let target = id.starts_with('b');
+            ended.exposed += u64::from(target);
+            let bad = target && number % 2 == 0;
+            let late = now.since(start) > Span::seconds(7);
+            let (time, event) = match badness {
+                Badness::Fails if bad => (60, Event::Failed),
+                Badness::FailsLate if bad && late => (60, Event::Failed),
+                Badness::Slow if bad => (480, Event::Answered),
+                _ => (55 + number % 20, Event::Answered),
+            };
+            running.push((now + Span::millis(time), exchange, event));
+        }
+        if number % 10 == 0 {
+            world.feed(Input::Tick);
+        }
+        let orders = world.out.drain(..).filter_map(|one| match one {
+            Output::Write(order) => Some(order),
+            _ => None,
+        });
+        ended.orders.extend(orders);
+    }
+    ended
+}
+
+#[test]
+fn rollout_good_is_completed_in_time() {
+    let ended = play(Badness::None);
+    assert_eq!(ended.orders.first().map(|order| order.phase), Some(Phase::Completed));
+}
+
+#[test]
+fn rollout_bad_is_rolled_back() {
+    for badness in [Badness::Fails, Badness::FailsLate, Badness::Slow] {
+        let ended = play(badness);
+        let phases: Vec<Phase> = ended.orders.iter().map(|order| order.phase).collect();
+        assert!(!phases.is_empty(), "{badness:?}");
+        assert!(phases.iter().all(|phase| *phase == Phase::RolledBack), "{badness:?} {phases:?}");
+        let bound = ended.requests / 10 + 50;
+        assert!(ended.exposed <= bound, "{badness:?}: {} of {}", ended.exposed, ended.requests);
+    }
+}
+
+#[test]
+fn rollout_completed_leaves_the_old_ones() {
+    let old = upstream("a0", "east");
+    let new = model::registry::Upstream { version: "v2".into(), ..upstream("b0", "east") };
+    let mut world = World::new(&[old]);
+    let rollout = |phase| Rollout {
+        service: "stock".into(),
+        target: "v2".into(),
+        duration: DURATION,
+        phase,
+    };
+    world.rollout(rollout(Phase::Running));
+    let fact = Some(model::registry::Fact::Upstream(new));
+    world.facts(model::registry::Kind::Upstreams, vec![("b0", fact)]);
+    world.rollout(rollout(Phase::Completed));
+    assert_eq!(world.place("/read/1").expect("a place").1, "b0");
+    // Capacity that comes later is welcome, whatever it runs.
+    let late = Some(model::registry::Fact::Upstream(upstream("a9", "east")));
+    world.facts(model::registry::Kind::Upstreams, vec![("a9", late), ("b0", None)]);
+    assert_eq!(world.place("/read/2").expect("a place").1, "a9");
+}
--- /dev/null
+++ b/crates/gateway/tests/view.rs
@@ -0,0 +1,66 @@
+//! Tests of facts that come late, twice, out of order or not at all.
+
+use gateway::view::{Batch, Delta, Gap, View};
+use model::registry::{Fact, Item};
+
+fn item(name: &str, present: bool) -> Item {
+    let fact = present.then_some(Fact::Withdrawal);
+    Item { name: name.into(), revision: 1, fact }
+}
+
+fn batch(after: Option<u64>, at: u64, items: Vec<Item>) -> Batch {
+    Batch { after, at, outage: false, items }
+}
+
+fn names(view: &View) -> Vec<&str> {
+    view.facts().map(|(name, _)| name).collect()
+}
+
+#[test]
+fn apply_changes_after_everything() {
+    let mut view = View::default();
+    let all = vec![item("a", true), item("b", true)];
+    view.apply(&batch(None, 5, all)).expect("everything fits");
+    let delta = view.apply(&batch(Some(5), 7, vec![item("a", false)])).expect("follows");
+    assert_eq!(delta, Delta { changed: vec![], removed: vec!["a".into()] });
+    assert_eq!(names(&view), ["b"]);
+}
+
+#[test]
+fn apply_refuses_a_gap() {
+    let mut view = View::default();
+    assert_eq!(view.apply(&batch(Some(3), 4, vec![])), Err(Gap));
+    view.apply(&batch(None, 5, vec![])).expect("everything fits");
+    assert_eq!(view.apply(&batch(Some(6), 7, vec![item("a", true)])), Err(Gap));
+    assert!(names(&view).is_empty());
+}
+
+#[test]
+fn apply_ignores_what_is_older() {
+    let mut view = View::default();
+    view.apply(&batch(None, 9, vec![item("a", true)])).expect("everything fits");
+    let delta = view.apply(&batch(None, 8, vec![])).expect("older");
+    assert_eq!(delta, Delta::default());
+    assert_eq!(names(&view), ["a"]);
+}
+
+#[test]
+fn apply_overlapping_changes_ends_right() {
+    let mut view = View::default();
+    view.apply(&batch(None, 5, vec![])).expect("everything fits");
+    view.apply(&batch(Some(5), 8, vec![item("a", true)])).expect("follows");
+    // A second reader tells the same and more, from further back.
+    let items = vec![item("a", true), item("a", false), item("b", true)];
+    view.apply(&batch(Some(4), 10, items)).expect("overlaps");
+    assert_eq!(names(&view), ["b"]);
+}
+
+#[test]
+fn advance_needs_something_known() {
+    let mut view = View::default();
+    view.advance(9);
+    assert_eq!(view.at, 0);
+    view.apply(&batch(None, 5, vec![])).expect("everything fits");
+    view.advance(9);
+    assert_eq!((view.at, view.changed), (9, 5));
+}
--- a/crates/policy/tests/border.rs
+++ b/crates/policy/tests/border.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Crates that decide.
-const DECIDING: [&str; 5] = ["base", "chart", "model", "lang", "policy"];
+const DECIDING: [&str; 6] = ["base", "chart", "model", "lang", "policy", "gateway"];
 /// Libraries that bring input, output or tasks.
 const OUTSIDE: [&str; 10] =
     ["tokio", "hyper", "hyper-util", "quinn", "rustls", "xtra", "store", "peer", "entry", "log4rs"];
