--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -243,7 +243,7 @@
         let route = self.routes.arena.get(call.route)?;
         let usable = matches!(upstream.state, State::Unproven | State::Warm | State::Cold);
         let open = usable && !self.domains[upstream.domain].withdrawn && now >= upstream.full_until;
-        if !open || call.tried.contains(&at) || !self.fits_version(call, upstream.version) {
+        if !open || call.tried.contains(&at) || !self.fits_version(now, call, upstream.version) {
             return None;
         }
         let gauge = upstream.gauge;
--- a/crates/gateway/src/engine/peers.rs
+++ b/crates/gateway/src/engine/peers.rs
@@ -123,7 +123,7 @@
     }
 
     /// Returns the latest time at which what is known of upstreams was current.
-    fn proven_at(&self) -> Option<Moment> {
+    pub(super) fn proven_at(&self) -> Option<Moment> {
         // This kind changes most, so its readers ask most often; their word holds for all kinds.
         self.views.get(&Kind::Upstreams).and_then(|view| view.proven_at)
     }
--- a/crates/gateway/src/engine/trials.rs
+++ b/crates/gateway/src/engine/trials.rs
@@ -18,6 +18,8 @@
 const SLOW: f64 = 1.5;
 /// Time that counts for an exchange that another one has overtaken, in microseconds.
 const OVERTAKEN: f64 = 60e6;
+/// Age of the newest word of the store up to which it counts as reachable.
+const REACHABLE: Span = Span::millis(1_300);
 /// Time between two frames of evidence.
 const REPORT: Span = Span::millis(400);
 
@@ -153,11 +155,12 @@
     }
 
     /// Tells whether an upstream of a version may get a call.
-    pub(super) fn fits_version(&self, call: &Call, version: key::Version) -> bool {
+    pub(super) fn fits_version(&self, now: Moment, call: &Call, version: key::Version) -> bool {
         let service = &self.services[call.service];
         if let Some(trial) = &service.trial {
             return match trial.state {
                 State::Trying => (version == trial.target) == (call.trial != Draw::Old),
+                State::Finished if trial.is_stuck(now) => true,
                 State::Switching | State::Finished => {
                     version == trial.target || !self.is_present(call.service, trial.target)
                 }
@@ -242,8 +245,10 @@
     }
 
     fn drive(&mut self, now: Moment, key: key::Service, out: &mut Vec<Output>) {
+        let proven = self.proven_at();
+        let reachable = proven.is_some_and(|at| now.since(at) < REACHABLE);
         let Some(trial) = self.services[key].trial.as_mut() else { return };
-        let Some(event) = trial.look(now) else { return };
+        let Some(event) = trial.look(now, reachable) else { return };
         self.step_trial(now, key, event, out);
     }
 
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -27,6 +27,8 @@
 const MOST_CREDIT: f64 = 1.5;
 /// Time between the switch and its end, in which nodes follow and badness under load shows.
 pub const SETTLE: Span = Span::millis(800);
+/// Time after which an end that is not written lets the other versions serve too.
+const STUCK: Span = Span::millis(1_000);
 /// Time between two tries to write the end.
 pub const WRITE_AGAIN: Span = Span::millis(700);
 
@@ -160,10 +162,12 @@
     }
 
     /// Returns what has happened, seen by the driver.
+    ///
+    /// `reachable` tells whether the store answers: without it a switch could not be ended.
     #[must_use]
-    pub fn look(&self, now: Moment) -> Option<Event> {
+    pub fn look(&self, now: Moment, reachable: bool) -> Option<Event> {
         match self.state {
-            State::Trying => self.look_trying(now),
+            State::Trying => self.look_trying(now, reachable),
             State::Switching if self.is_bad() => Some(Event::Bad),
             State::Switching => (now.since(self.since) >= SETTLE).then_some(Event::Settled),
             State::Finished | State::Failed => {
@@ -173,7 +177,7 @@
         }
     }
 
-    fn look_trying(&self, now: Moment) -> Option<Event> {
+    fn look_trying(&self, now: Moment, reachable: bool) -> Option<Event> {
         if self.is_bad() {
             return Some(Event::Bad);
         }
@@ -183,7 +187,7 @@
         let enough = (part >= TRY_PART && telling >= ENOUGH)
             || (part >= HURRY_PART && telling >= ENOUGH_LATE);
         match () {
-            () if enough && clear => Some(Event::Enough),
+            () if enough && clear => reachable.then_some(Event::Enough),
             () if part >= LAST_PART => Some(Event::Overdue),
             () => None,
         }
@@ -193,6 +197,13 @@
         matches!(self.judge.finding(), Finding::Bad(_))
     }
 
+    /// Tells whether the switch has ended while the store did not accept that, so that the other
+    /// versions are still there.
+    #[must_use]
+    pub fn is_stuck(&self, now: Moment) -> bool {
+        self.state == State::Finished && !self.written && now.since(self.since) >= STUCK
+    }
+
     /// Moves to a state that another node or the store has told, if it is further.
     pub fn advance(&mut self, now: Moment, state: State) -> bool {
         let further = state > self.state && self.state != State::Finished;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -87,7 +87,8 @@
         let engine = Engine::new(charts, own, Terms::default(), 7, now);
         let mut world = Self { engine, now, out: Vec::new(), revision: 1, token: 0 };
         world.facts(Kind::Table, vec![("main", Some(Fact::Table(table())))]);
-        let items = upstreams.iter().map(|one| (one.id.as_str(), Some(Fact::Upstream(one.clone()))));
+        let items =
+            upstreams.iter().map(|one| (one.id.as_str(), Some(Fact::Upstream(one.clone()))));
         world.facts(Kind::Upstreams, items.collect());
         world.pass(Span::seconds(2));
         world
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -35,8 +35,7 @@
             Engine::new(charts, one.clone(), Terms::default(), one.ident(), now)
         };
         let engines = members.iter().map(|one| (one.ident(), engine(one))).collect();
-        let mut fleet =
-            Self { engines, members, down: Vec::new(), watching: BTreeMap::new(), now };
+        let mut fleet = Self { engines, members, down: Vec::new(), watching: BTreeMap::new(), now };
         fleet.list();
         fleet
     }
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -45,9 +45,8 @@
         duration: DURATION,
         phase: Phase::Running,
     });
-    let facts = new.iter().map(|one| {
-        (one.id.as_str(), Some(model::registry::Fact::Upstream(one.clone())))
-    });
+    let facts =
+        new.iter().map(|one| (one.id.as_str(), Some(model::registry::Fact::Upstream(one.clone()))));
     world.facts(model::registry::Kind::Upstreams, facts.collect());
     let start = world.now;
     let mut running: Vec<(Moment, key::Attempt, Event)> = Vec::new();
@@ -113,12 +112,8 @@
     let old = upstream("a0", "east");
     let new = model::registry::Upstream { version: "v2".into(), ..upstream("b0", "east") };
     let mut world = World::new(&[old]);
-    let rollout = |phase| Rollout {
-        service: "stock".into(),
-        target: "v2".into(),
-        duration: DURATION,
-        phase,
-    };
+    let rollout =
+        |phase| Rollout { service: "stock".into(), target: "v2".into(), duration: DURATION, phase };
     world.rollout(rollout(Phase::Running));
     let fact = Some(model::registry::Fact::Upstream(new));
     world.facts(model::registry::Kind::Upstreams, vec![("b0", fact)]);
