--- a/crates/node/src/steer.rs
+++ b/crates/node/src/steer.rs
@@ -31,7 +31,7 @@
 use crate::probe::{self, Question};
 
 /// Time between ticks of the decisions.
-const TICK: Span = Span::millis(100);
+const TICK: Span = Span::millis(200);
 /// Ticks between sweeps of idle connections.
 const SWEEP_TICKS: u32 = 10;
 /// Difference of the clocks that shows a suspension.
