Keep the store's word fresh in the tests of rollouts, and test a rollout without it

The test of a good rollout failed since a switch waits for the store: the test's store was silent, which now means out of reach. It speaks now, and a test in which it does not is added.

--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -6,7 +6,7 @@
 use common::{World, upstream};
 use gateway::engine::{Input, Order, Output};
 use gateway::exchange::Event;
-use model::registry::{Phase, Rollout};
+use model::registry::{Fact, Kind, Phase, Rollout};
 
 /// What is wrong with the target version.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,8 +28,12 @@
     requests: u64,
 }
 
-/// Plays a rollout to its deadline.
+/// Plays a rollout to its deadline while the store answers.
 fn play(badness: Badness) -> Ended {
+    play_with(badness, true)
+}
+
+fn play_with(badness: Badness, store: bool) -> Ended {
     let mut all: Vec<_> = (0..9).map(|number| upstream(&format!("a{number}"), "east")).collect();
     all.extend((0..9).map(|number| {
         let id = format!("b{number}");
@@ -45,9 +49,8 @@
         duration: DURATION,
         phase: Phase::Running,
     });
-    let facts =
-        new.iter().map(|one| (one.id.as_str(), Some(model::registry::Fact::Upstream(one.clone()))));
-    world.facts(model::registry::Kind::Upstreams, facts.collect());
+    let facts = new.iter().map(|one| (one.id.as_str(), Some(Fact::Upstream(one.clone()))));
+    world.facts(Kind::Upstreams, facts.collect());
     let start = world.now;
     let mut running: Vec<(Moment, key::Attempt, Event)> = Vec::new();
     let mut ended = Ended { orders: Vec::new(), exposed: 0, requests: 0 };
@@ -78,6 +81,10 @@
             running.push((now + Span::millis(time), exchange, event));
         }
         if number % 10 == 0 {
+            let at = world.engine.revision(Kind::Upstreams);
+            if store {
+                world.feed(Input::Current { kind: Kind::Upstreams, at, asked_at: now });
+            }
             world.feed(Input::Tick);
         }
         let orders = world.out.drain(..).filter_map(|one| match one {
@@ -95,6 +102,12 @@
     assert_eq!(ended.orders.first().map(|order| order.phase), Some(Phase::Completed));
 }
 
+/// A switch without the store could not be ended, and half of the upstreams would stand idle.
+#[test]
+fn rollout_good_waits_for_the_store() {
+    assert_eq!(play_with(Badness::None, false).orders, []);
+}
+
 #[test]
 fn rollout_bad_is_rolled_back() {
     for badness in [Badness::Fails, Badness::FailsLate, Badness::Slow] {
@@ -115,12 +128,12 @@
     let rollout =
         |phase| Rollout { service: "stock".into(), target: "v2".into(), duration: DURATION, phase };
     world.rollout(rollout(Phase::Running));
-    let fact = Some(model::registry::Fact::Upstream(new));
-    world.facts(model::registry::Kind::Upstreams, vec![("b0", fact)]);
+    let fact = Some(Fact::Upstream(new));
+    world.facts(Kind::Upstreams, vec![("b0", fact)]);
     world.rollout(rollout(Phase::Completed));
     assert_eq!(world.place("/read/1").expect("a place").1, "b0");
     // Capacity that comes later is welcome, whatever it runs.
-    let late = Some(model::registry::Fact::Upstream(upstream("a9", "east")));
-    world.facts(model::registry::Kind::Upstreams, vec![("a9", late), ("b0", None)]);
+    let late = Some(Fact::Upstream(upstream("a9", "east")));
+    world.facts(Kind::Upstreams, vec![("a9", late), ("b0", None)]);
     assert_eq!(world.place("/read/2").expect("a place").1, "a9");
 }
