Never let a reader run ahead of what its node knows, and wait for lapsed entries only if the store was away

Now the decisions hear of the same revision, and a reader that finds them behind reads anew. 2. Nodes tell for how long the store was always within their reach; one that kept it shows that nothing has lapsed. Test lapsed_upstream_goes_at_once_if_others_kept_the_store. Refusals now log what the node saw of the service.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -22,7 +22,7 @@
 pub use advise::Advice;
 pub use call::{Call, Outcome, Refusal, Request};
 pub use choose::Why;
-pub use dump::{Dump, Stats};
+pub use dump::{Census, Dump, Stats};
 pub use facts::Note;
 pub use health::Health;
 pub use trials::Order;
@@ -148,6 +148,8 @@
         outcome: Outcome,
         /// When to try again, if that may help.
         retry_after: Option<Span>,
+        /// What the node saw of the service.
+        census: Census,
     },
     /// An upstream is to be asked for its health.
     Probe {
--- a/crates/gateway/src/engine/call.rs
+++ b/crates/gateway/src/engine/call.rs
@@ -120,6 +120,7 @@
                 refusal,
                 outcome: Outcome::NotRun,
                 retry_after: (refusal == Refusal::NoTable).then_some(RETRY_UNKNOWN),
+                census: self.census(now, None),
             });
         }
     }
@@ -209,7 +210,7 @@
         self.end_exchanges(now, key, Event::Late, out);
         let Some(call) = self.calls.get(key) else { return };
         let refusal = if call.may_have_run { Refusal::LateSent } else { Refusal::LateUnsent };
-        self.refuse(key, refusal, out);
+        self.refuse(now, key, refusal, out);
     }
 
     /// Forgets a call whose caller has left.
@@ -234,7 +235,13 @@
     }
 
     /// Ends a call with a refusal.
-    pub(super) fn refuse(&mut self, key: key::Call, refusal: Refusal, out: &mut Vec<Output>) {
+    pub(super) fn refuse(
+        &mut self,
+        now: Moment,
+        key: key::Call,
+        refusal: Refusal,
+        out: &mut Vec<Output>,
+    ) {
         let Some(call) = self.end_call(key) else { return };
         let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
         match outcome {
@@ -247,7 +254,8 @@
             Refusal::NoUpstream | Refusal::Attempts | Refusal::LateUnsent => Some(RETRY_UNKNOWN),
             _ => None,
         };
-        out.push(Output::Refuse { token: call.token, refusal, outcome, retry_after });
+        let census = self.census(now, Some(call.service));
+        out.push(Output::Refuse { token: call.token, refusal, outcome, retry_after, census });
     }
 
     /// Forgets a call.
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -80,7 +80,7 @@
     pub(super) fn place(&mut self, now: Moment, key: key::Call, out: &mut Vec<Output>) {
         let Some(call) = self.calls.get(key) else { return };
         if now >= call.deadline {
-            return self.refuse_if_alone(key, Refusal::LateUnsent, out);
+            return self.refuse_if_alone(now, key, Refusal::LateUnsent, out);
         }
         let mut candidates = self.candidates(now, key);
         if candidates.is_empty() && self.calls[key].trial != Draw::Old {
@@ -96,15 +96,21 @@
         }
         match candidates.iter().find(|one| one.room && !one.unproven) {
             Some(best) => self.send(now, key, *best, candidates.len(), out),
-            None => self.refuse_if_alone(key, self.lack(key), out),
+            None => self.refuse_if_alone(now, key, self.lack(key), out),
         }
     }
 
     /// Refuses a call unless another exchange of it is in progress.
-    fn refuse_if_alone(&mut self, key: key::Call, refusal: Refusal, out: &mut Vec<Output>) {
+    fn refuse_if_alone(
+        &mut self,
+        now: Moment,
+        key: key::Call,
+        refusal: Refusal,
+        out: &mut Vec<Output>,
+    ) {
         let Some(call) = self.calls.get(key) else { return };
         match call.live {
-            0 => self.refuse(key, refusal, out),
+            0 => self.refuse(now, key, refusal, out),
             _ => out.push(Output::Await { token: call.token }),
         }
     }
--- a/crates/gateway/src/engine/dump.rs
+++ b/crates/gateway/src/engine/dump.rs
@@ -37,6 +37,27 @@
         pub probes: u64,
     }
 
+    /// What a node saw of a service when it refused a request.
+    #[derive(Copy, Default)]
+    pub struct Census {
+        /// Version of the table in force.
+        pub table: u64,
+        /// Upstreams that any node may choose.
+        pub warm: u32,
+        /// Those of them without a free slot, as far as is known.
+        pub full: u32,
+        /// Upstreams in a cold start.
+        pub cold: u32,
+        /// Upstreams that have to answer first.
+        pub unproven: u32,
+        /// Upstreams whose answers or connections fail.
+        pub failing: u32,
+        /// Upstreams that leave.
+        pub draining: u32,
+        /// Upstreams in withdrawn domains, whatever their state.
+        pub withdrawn: u32,
+    }
+
     /// An upstream in a dump.
     pub struct Row {
         /// Its service.
@@ -119,6 +140,30 @@
         }
     }
 
+    /// Counts the upstreams of a service by what speaks against them.
+    pub(super) fn census(&self, now: Moment, service: Option<key::Service>) -> Census {
+        let mut census = Census { table: self.table_version, ..Census::default() };
+        let service = service.and_then(|key| self.services.get(key));
+        for key in service.map_or(&[][..], |service| &service.upstreams) {
+            let upstream = &self.upstreams[*key];
+            if self.domains[upstream.domain].withdrawn {
+                census.withdrawn += 1;
+            }
+            let full = upstream.gauge.load(now) + 1.0 > f64::from(upstream.slots);
+            match upstream.state {
+                upstream::State::Warm => {
+                    census.warm += 1;
+                    census.full += u32::from(full);
+                }
+                upstream::State::Cold => census.cold += 1,
+                upstream::State::Unproven => census.unproven += 1,
+                upstream::State::Failing | upstream::State::Down => census.failing += 1,
+                upstream::State::Draining => census.draining += 1,
+            }
+        }
+        census
+    }
+
     /// Returns the counts since the start.
     #[must_use]
     pub fn stats(&self) -> Stats {
--- a/crates/gateway/src/engine/facts.rs
+++ b/crates/gateway/src/engine/facts.rs
@@ -41,8 +41,8 @@
             before: State,
             /// Why.
             cause: Event,
-            /// Time since it was last heard, in milliseconds.
-            heard_ms: u64,
+            /// Time since it was last heard, in milliseconds, if it ever was.
+            heard_ms: Option<u64>,
         },
         /// An upstream has registered itself.
         Registered {
@@ -176,7 +176,7 @@
             return applied;
         };
         match kind {
-            Kind::Table => self.take_table(out),
+            Kind::Table => self.take_table(now, out),
             Kind::Upstreams => self.take_upstreams(now, delta, batch.at, out),
             Kind::Rollouts => self.take_rollouts(now, delta, out),
             Kind::Withdrawals => self.take_withdrawals(now, delta, batch.at, out),
@@ -185,7 +185,7 @@
         applied
     }
 
-    fn take_table(&mut self, out: &mut Vec<Output>) {
+    fn take_table(&mut self, now: Moment, out: &mut Vec<Output>) {
         let tables = self.views.get(&Kind::Table).into_iter().flat_map(View::facts);
         let tables = tables.filter_map(|(_, fact)| match fact {
             Fact::Table(table) => Some(table),
@@ -202,7 +202,7 @@
         let mut routes = std::mem::take(&mut self.routes);
         routes.adopt(&table, |name| self.service(name));
         self.routes = routes;
-        self.drop_unrouted(out);
+        self.drop_unrouted(now, out);
         out.push(Output::Note(Note::Table { version: table.version, routes: table.routes.len() }));
     }
 
@@ -217,14 +217,14 @@
     }
 
     /// Refuses calls whose routes are gone before they were sent anywhere.
-    fn drop_unrouted(&mut self, out: &mut Vec<Output>) {
+    fn drop_unrouted(&mut self, now: Moment, out: &mut Vec<Output>) {
         let unrouted = self.calls.iter().filter(|(_, call)| !call.may_have_run && call.live == 0);
         let keys: Vec<key::Call> = unrouted
             .filter(|(_, call)| !self.routes.arena.contains_key(call.route))
             .map(|(key, _)| key)
             .collect();
         for key in keys {
-            self.refuse(key, super::Refusal::NoUpstream, out);
+            self.refuse(now, key, super::Refusal::NoUpstream, out);
         }
     }
 
@@ -380,6 +380,14 @@
         out.push(Output::Note(Note::Departed { id: id.to_owned(), revision }));
     }
 
+    /// Lets entries go at once, as only this node has lost the store and not the upstreams.
+    pub(super) fn cancel_lapses(&mut self, now: Moment, out: &mut Vec<Output>) {
+        if now < self.lapse_until {
+            self.lapse_until = now;
+            self.end_lapses(now, out);
+        }
+    }
+
     /// Lets entries go that have not come back since the store has.
     pub(super) fn end_lapses(&mut self, now: Moment, out: &mut Vec<Output>) {
         if self.lapsed.is_empty() || now < self.lapse_until {
@@ -466,7 +474,7 @@
                 state: upstream.state,
                 before,
                 cause: event,
-                heard_ms: now.since(upstream.gauge.heard_at).as_millis(),
+                heard_ms: upstream.gauge.heard_age(now).map(Span::as_millis),
             }));
         }
     }
--- a/crates/gateway/src/engine/outcome.rs
+++ b/crates/gateway/src/engine/outcome.rs
@@ -123,7 +123,7 @@
             self.stats.retries += 1;
             return self.place(now, key, out);
         }
-        self.refuse(key, Refusal::Attempts, out);
+        self.refuse(now, key, Refusal::Attempts, out);
     }
 
     /// Passes a failed answer on unless another upstream may give a better one.
--- a/crates/gateway/src/engine/peers.rs
+++ b/crates/gateway/src/engine/peers.rs
@@ -16,6 +16,9 @@
 const PROOF_OLD: Span = Span::millis(1_250);
 /// How much fresher a proof has to be to be passed on at once.
 const PROOF_FRESHER: Span = Span::millis(250);
+/// Time for which the store has to have been within another node's reach to show that no entries
+/// have lapsed: several heartbeats of upstreams.
+const LEASES: Span = Span::seconds(4);
 /// Time for which a node goes on watching once nobody else seemed to.
 const WATCH_LEAST: Span = Span::seconds(2);
 /// Time after the start in which nodes find each other before any of them watches.
@@ -156,6 +159,10 @@
                 view.advance(proof.at);
                 view.prove(now - proof.age);
             }
+            let present = proof.age < PROOF_OLD && proof.steady >= LEASES;
+            if proof.kind == Kind::Upstreams && present {
+                self.cancel_lapses(now, out);
+            }
         }
     }
 
@@ -179,7 +186,8 @@
     fn own_beat(&self, now: Moment, near: bool) -> Beat {
         let proofs = self.views.iter().filter_map(|(kind, view)| {
             let age = now.since(view.proven_at?);
-            Some(Proof { kind: *kind, at: view.at, changed: view.changed, age })
+            let steady = view.steady();
+            Some(Proof { kind: *kind, at: view.at, changed: view.changed, age, steady })
         });
         let lead = !self.leaving && self.members.is_lead(now);
         let domains = match (lead, near) {
--- a/crates/gateway/src/gauge.rs
+++ b/crates/gateway/src/gauge.rs
@@ -130,6 +130,12 @@
         Self { others: self.others(now), pace: 1.0, told_at: now, ..*self }
     }
 
+    /// Returns the time since the upstream last answered, if it ever has.
+    #[must_use]
+    pub fn heard_age(&self, now: Moment) -> Option<Span> {
+        (self.heard_at > Moment::default()).then(|| now.since(self.heard_at))
+    }
+
     /// Returns how old the last report is.
     #[must_use]
     pub fn age(&self, now: Moment) -> Span {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -87,5 +87,7 @@
         pub changed: u64,
         /// Time since the store said that nothing newer is there.
         pub age: Span,
+        /// Time before that for which the store was always within reach.
+        pub steady: Span,
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,9 @@
 use base::prelude::*;
 use model::registry::{Fact, Item};
 
+/// Time between two proofs above which the store counts as having been out of reach between them.
+pub const UNBROKEN: Span = Span::millis(2_500);
+
 record! {
     /// Facts on their way: everything of a kind, or what has changed.
     pub struct Batch {
@@ -41,6 +44,8 @@
     pub changed: u64,
     /// Latest time at which the facts were current.
     pub proven_at: Option<Moment>,
+    /// Since when there was a proof at least every [`UNBROKEN`].
+    pub steady_since: Option<Moment>,
     items: BTreeMap<String, Item>,
 }
 
@@ -95,9 +100,22 @@
 
     /// Notes that the facts were current at a moment.
     pub fn prove(&mut self, moment: Moment) {
+        let broken = self.proven_at.is_none_or(|before| moment.since(before) > UNBROKEN);
+        if broken {
+            self.steady_since = Some(moment);
+        }
         self.proven_at = self.proven_at.max(Some(moment));
     }
 
+    /// Returns for how long there was always a proof, up to the newest.
+    #[must_use]
+    pub fn steady(&self) -> Span {
+        match (self.proven_at, self.steady_since) {
+            (Some(proven), Some(since)) => proven.since(since),
+            _ => Span::ZERO,
+        }
+    }
+
     fn update(&mut self, batch: &Batch) -> Delta {
         let mut delta = Delta::default();
         for item in &batch.items {
--- a/crates/gateway/tests/bounds.rs
+++ b/crates/gateway/tests/bounds.rs
@@ -66,7 +66,7 @@
             let storm = (step / 7_000) % 2 == 0;
             for (node, budget) in budgets.iter_mut().enumerate() {
                 let due = if storm { 20 } else { 400 };
-                if (step + node as u64) % due == 0 {
+                if (step + node as u64).is_multiple_of(due) {
                     budget.earn(now, &terms, count);
                     requests.push(now);
                 }
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use common::{World, table, upstream};
 use gateway::engine::{Output, Refusal};
+use gateway::message::{Beat, Frame, Proof};
 use model::registry::{Fact, Kind};
 use model::table::Table;
 
@@ -31,6 +32,32 @@
     }
 }
 
+/// A node that was cut off alone has no reason to wait for entries to come back.
+#[test]
+fn lapsed_upstream_goes_at_once_if_others_kept_the_store() {
+    for (steady, kept) in [(Span::seconds(1), true), (Span::seconds(9), false)] {
+        let mut world = World::new(&[upstream("e1", "east")]);
+        let other = common::member("other", "east", 2);
+        let at = world.engine.revision(Kind::Upstreams) + 1;
+        world.batch(Kind::Upstreams, vec![("e1", None)], true);
+        let age = Span::millis(100);
+        let proof = Proof { kind: Kind::Upstreams, at, changed: at, age, steady };
+        let beat = Beat {
+            process: 3,
+            leaving: false,
+            ready: true,
+            lead: false,
+            domains: Vec::new(),
+            proofs: vec![proof],
+            trials: Vec::new(),
+        };
+        let from = other.ident();
+        let frame = Frame::Join { member: other, beat };
+        world.feed(gateway::Input::Peer { from, frame });
+        assert_eq!(world.place("/read/1").is_some(), kept, "steady for {steady:?}");
+    }
+}
+
 #[test]
 fn restarted_upstream_is_another_one() {
     let mut world = World::new(&[upstream("e1", "east")]);
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -64,13 +64,13 @@
         }
         ended.requests += 1;
         let number = ended.requests;
-        world.request(if number % 3 == 0 { "/write/1" } else { "/read/1" });
+        world.request(if number.is_multiple_of(3) { "/write/1" } else { "/read/1" });
         world.answer_well();
         for (exchange, id) in world.sends() {
             world.happen(exchange, Event::Sent);
             let target = id.starts_with('b');
             ended.exposed += u64::from(target);
-            let bad = target && number % 2 == 0;
+            let bad = target && number.is_multiple_of(2);
             let late = now.since(start) > Span::seconds(7);
             let (time, event) = match badness {
                 Badness::Fails if bad => (60, Event::Failed),
@@ -80,7 +80,7 @@
             };
             running.push((now + Span::millis(time), exchange, event));
         }
-        if number % 10 == 0 {
+        if number.is_multiple_of(10) {
             let at = world.engine.revision(Kind::Upstreams);
             if store {
                 world.feed(Input::Current { kind: Kind::Upstreams, at, asked_at: now });
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use gateway::engine::{Request, Why};
+use gateway::engine::{Census, Request, Why};
 use gateway::exchange::Event;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -27,7 +27,7 @@
 const BODY_TIME: Span = Span::seconds(30);
 
 /// One send of a request, for the log.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 struct Step {
     to: String,
     cost_ms: u64,
@@ -53,7 +53,9 @@
     cause: String,
     ms: u64,
     table: u64,
-    sends: &'a [&'a Step],
+    sends: &'a [Step],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    seen: Option<Census>,
 }
 
 /// A request in progress at its front.
@@ -177,10 +179,11 @@
                         return Ok(self.pass(response));
                     }
                 }
-                Directive::Refuse { refusal, outcome, retry_after } => {
+                Directive::Refuse { refusal, outcome, retry_after, census } => {
                     self.key = None;
                     let response = answer::refusal(refusal, outcome, retry_after);
-                    self.log(response.status(), refusal.to_string());
+                    self.table = census.table;
+                    self.log(response.status(), refusal.to_string(), Some(census));
                     return Ok(response);
                 }
             }
@@ -241,11 +244,11 @@
         let (mut head, body) = response.into_parts();
         entry::header::strip_hop_by_hop(&mut head.headers);
         head.version = hyper::Version::HTTP_11;
-        self.log(head.status, "answered".to_owned());
+        self.log(head.status, "answered".to_owned(), None);
         Response::from_parts(head, Full::new(body))
     }
 
-    fn log(&self, status: StatusCode, cause: String) {
+    fn log(&self, status: StatusCode, cause: String, seen: Option<Census>) {
         let took = self.start.elapsed();
         self.front.meter.request(status, took);
         let usual = status.is_success() && self.steps.len() <= 1;
@@ -254,7 +257,8 @@
             return;
         }
         let id = self.whole.attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
-        let sends: Vec<&Step> = self.steps.iter().map(|(_, _, step)| step).collect();
+        let sends: Vec<Step> =
+            self.steps.iter().map(|(_, start, step)| step.as_of(*start)).collect();
         let line = Line {
             event: "request",
             id,
@@ -264,6 +268,7 @@
             ms: millis(took),
             table: self.table,
             sends: &sends,
+            seen,
         };
         logs::value(level, &line);
     }
@@ -283,6 +288,12 @@
             ms: 0,
         }
     }
+
+    /// Returns the step as it is now: one that has not ended goes on since its start.
+    fn as_of(&self, start: Instant) -> Self {
+        let ms = if self.end.is_some() { self.ms } else { millis(start.elapsed()) };
+        Self { ms, ..self.clone() }
+    }
 }
 
 fn millis(time: std::time::Duration) -> u64 {
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -146,12 +146,12 @@
             let proven_at = asked_at + wait.into();
             let asked_at = if proven_at <= clock::now() { proven_at } else { asked_at };
             self.proven_at = asked_at;
-            self.steer.post(Message::Current { kind, at: self.after, asked_at });
             // A watch may have missed what came just before its end; the next one starts before
             // that, and the store's history still has it.
             if let Some(quiet) = self.quiet.replace(at) {
                 self.after = quiet;
             }
+            self.steer.post(Message::Current { kind, at: self.after, asked_at });
             return Ok(());
         }
         let batch = Batch { after: Some(self.after), at, outage: false, items };
@@ -160,9 +160,18 @@
         self.after = at;
         self.quiet = None;
         self.steer.post(Message::Facts { kind, batch, asked_at });
+        self.check(at).await;
         Ok(())
     }
 
+    /// Reads everything anew if the decisions could not follow on what they knew.
+    async fn check(&mut self, at: u64) {
+        let known = self.steer.ask(|reply| Message::Revision(self.kind, reply)).await;
+        if known.is_ok_and(|known| known < at) {
+            self.after = 0;
+        }
+    }
+
     /// Notes a failure and waits a while, longer each time and not in step with other nodes.
     async fn lost(&mut self, asked_at: Moment, error: &Error) {
         if self.lost_at.is_none() {
--- a/crates/node/src/steer.rs
+++ b/crates/node/src/steer.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use gateway::engine::{Advice, Dump, Health, Outcome, Refusal, Request, Why};
+use gateway::engine::{Advice, Census, Dump, Health, Outcome, Refusal, Request, Why};
 use gateway::exchange::Event;
 use gateway::gauge::Report;
 use gateway::message::Frame;
@@ -157,6 +157,8 @@
         outcome: Outcome,
         /// When to try again.
         retry_after: Option<Span>,
+        /// What the node saw of the service.
+        census: Census,
     },
 }
 
@@ -447,8 +449,9 @@
             }
             Output::Pass { token } => return self.reply(token, Directive::Pass),
             Output::Await { token } => return self.reply(token, Directive::Await),
-            Output::Refuse { token, refusal, outcome, retry_after } => {
-                return self.reply(token, Directive::Refuse { refusal, outcome, retry_after });
+            Output::Refuse { token, refusal, outcome, retry_after, census } => {
+                let directive = Directive::Refuse { refusal, outcome, retry_after, census };
+                return self.reply(token, directive);
             }
             Output::Probe { upstream } => self.probe(upstream),
             Output::Retire { upstream } => self.idle.retire(upstream),
