Keep routes' keys over tables, and split what had grown

Cause, found by reading: each table made all routes anew, so that calls waiting for health lost their route and were refused, and second sends found none. waiting_call_keeps_its_route_over_a_newer_table fails without the change.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -2,10 +2,12 @@
 
 mod advise;
 mod call;
+mod candidate;
 mod choose;
 mod dump;
 mod facts;
 mod health;
+mod note;
 mod outcome;
 mod peers;
 mod trials;
@@ -23,8 +25,8 @@
 pub use call::{Call, Outcome, Refusal, Request};
 pub use choose::Why;
 pub use dump::{Census, Dump, Stats};
-pub use facts::Note;
 pub use health::Health;
+pub use note::Note;
 pub use trials::Order;
 
 use crate::budget::Budget;
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use base::hash::digest;
 use base::prelude::*;
-use model::table::{Kind, Table};
+use model::table::{self, Kind, Table};
 use slotmap::SlotMap;
 
 record! {
@@ -54,38 +55,60 @@
     /// The routes.
     pub arena: SlotMap<key::Route, Route>,
     hosts: BTreeMap<String, Vec<key::Route>>,
+    names: BTreeMap<String, key::Route>,
+}
+
+impl Route {
+    fn new(
+        ordered: &table::Route,
+        learned: Option<f64>,
+        service: &mut impl FnMut(&str) -> key::Service,
+    ) -> Self {
+        let sum: f64 = ordered.parts.iter().map(|part| part.weight).sum();
+        let parts = ordered.parts.iter().map(|part| Part {
+            service: service(&part.service),
+            share: if sum > 0.0 { part.weight / sum } else { 0.0 },
+            credit: 0.0,
+        });
+        Self {
+            name: ordered.name.clone(),
+            ident: digest(&[b"route", ordered.name.as_bytes()]),
+            prefix: ordered.prefix.clone(),
+            kind: ordered.kind,
+            timeout: ordered.timeout,
+            target: ordered.target,
+            attempts: ordered.attempts.max(1),
+            rank: ordered.rank,
+            parts: parts.collect(),
+            service_time: learned.unwrap_or(ordered.target.0 as f64 * ASSUMED_PART),
+        }
+    }
 }
 
 impl Routes {
-    /// Makes the routes of a table; `service` finds services by name.
+    /// Takes over the routes of a table; `service` finds services by name.
     ///
-    /// Usual times that were learned before stay with routes of the same name.
+    /// Routes of names that stay keep their keys, on which calls in progress rely, and the usual
+    /// times that were learned.
     pub fn adopt(&mut self, table: &Table, mut service: impl FnMut(&str) -> key::Service) {
-        let before: BTreeMap<String, f64> =
-            self.arena.values().map(|route| (route.name.clone(), route.service_time)).collect();
-        self.arena.clear();
+        let mut before = std::mem::take(&mut self.names);
         self.hosts.clear();
-        for route in &table.routes {
-            let sum: f64 = route.parts.iter().map(|part| part.weight).sum();
-            let parts = route.parts.iter().map(|part| Part {
-                service: service(&part.service),
-                share: if sum > 0.0 { part.weight / sum } else { 0.0 },
-                credit: 0.0,
-            });
-            let assumed = route.target.0 as f64 * ASSUMED_PART;
-            let key = self.arena.insert(Route {
-                name: route.name.clone(),
-                ident: base::hash::digest(&[b"route", route.name.as_bytes()]),
-                prefix: route.prefix.clone(),
-                kind: route.kind,
-                timeout: route.timeout,
-                target: route.target,
-                attempts: route.attempts.max(1),
-                rank: route.rank,
-                parts: parts.collect(),
-                service_time: before.get(&route.name).copied().unwrap_or(assumed),
-            });
-            self.hosts.entry(route.host.clone()).or_default().push(key);
+        for ordered in &table.routes {
+            let known = before.remove(&ordered.name);
+            let learned = known.map(|key| self.arena[key].service_time);
+            let route = Route::new(ordered, learned, &mut service);
+            let key = match known {
+                Some(key) => {
+                    self.arena[key] = route;
+                    key
+                }
+                None => self.arena.insert(route),
+            };
+            self.names.insert(ordered.name.clone(), key);
+            self.hosts.entry(ordered.host.clone()).or_default().push(key);
+        }
+        for gone in before.into_values() {
+            self.arena.remove(gone);
         }
         let arena = &self.arena;
         for keys in self.hosts.values_mut() {
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -80,6 +80,17 @@
     assert!(world.place("/read/1").is_some());
 }
 
+/// A table that comes while a call waits for its upstreams' health must not cost it its route.
+#[test]
+fn waiting_call_keeps_its_route_over_a_newer_table() {
+    let mut world = World::new(&[upstream("e1", "east")]);
+    world.request("/read/1");
+    let newer = Table { version: 9, ..table() };
+    world.facts(Kind::Table, vec![("main", Some(Fact::Table(newer)))]);
+    world.answer_well();
+    assert_eq!(world.sends().len(), 1, "{:?}", world.refusals());
+}
+
 #[test]
 fn request_without_a_table_is_not_unknown() {
     let mut world = World::new(&[upstream("e1", "east")]);
