Let the task that writes lines own their limit

Cause: the limit on lines of log stood behind a lock that every task shared, against the shape: tasks own their state and talk by messages. Change: messages go through the bounded queue to one task, which owns the limit and standard output; only a count of what the queue had no room for is shared.

--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,7 +1,7 @@
 //! Logs as JSON lines on standard output: bounded, and never waited for.
 
 use std::fmt::Write as _;
-use std::sync::Mutex;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -17,10 +17,12 @@
 
 /// Name of the only appender.
 const APPENDER: &str = "lines";
-/// Lines that wait to be written; more are dropped and counted.
+/// Messages that wait to be written; more are dropped and counted.
 const MOST_WAITING: usize = 1_024;
 /// Seconds' worth of lines that may come at once.
 const BURST_SECONDS: f64 = 2.0;
+/// Part of these that only lines above the daily round may use.
+const URGENT_PART: f64 = 0.25;
 /// Pause while standard output takes nothing.
 const BLOCKED: Duration = Duration::from_millis(20);
 /// Tries to write the same bytes before they are dropped.
@@ -62,7 +64,8 @@
         self.at = now;
         self.tokens = (self.tokens + elapsed * self.rate).min(self.rate * BURST_SECONDS);
         // The last part is kept for lines that are not of the daily round.
-        let floor = if urgent { 1.0 } else { 1.0 + self.rate * BURST_SECONDS * 0.25 };
+        let kept = if urgent { 0.0 } else { self.rate * BURST_SECONDS * URGENT_PART };
+        let floor = 1.0 + kept;
         if self.tokens < floor {
             self.suppressed += 1;
             return None;
@@ -72,25 +75,29 @@
     }
 }
 
-/// Formats lines and hands them to the task that writes.
+/// A message on its way to the task that writes.
 #[derive(Debug)]
-struct Lines {
-    limit: Mutex<Limit>,
-    lines: mpsc::Sender<String>,
-    dropped: AtomicU64,
+struct Entry {
+    unix_ms: u64,
+    level: Level,
+    /// A JSON object or plain text.
+    message: String,
 }
 
-impl Append for Lines {
+/// Hands messages to the task that writes.
+#[derive(Debug)]
+struct Queue {
+    entries: mpsc::Sender<Entry>,
+    /// Messages that the queue had no room for.
+    dropped: Arc<AtomicU64>,
+}
+
+impl Append for Queue {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
-        let urgent = record.level() <= Level::Warn;
-        let passed = match self.limit.lock() {
-            Ok(mut limit) => limit.pass(clock::now(), urgent),
-            Err(_) => None,
-        };
-        let Some(suppressed) = passed else { return Ok(()) };
-        let suppressed = suppressed + self.dropped.swap(0, Ordering::Relaxed);
-        if self.lines.try_send(line(record, suppressed)).is_err() {
-            self.dropped.fetch_add(suppressed + 1, Ordering::Relaxed);
+        let message = record.args().to_string();
+        let entry = Entry { unix_ms: clock::unix_ms(), level: record.level(), message };
+        if self.entries.try_send(entry).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
@@ -98,23 +105,52 @@
     fn flush(&self) {}
 }
 
-/// Makes a line; messages are JSON objects or plain text.
-fn line(record: &Record<'_>, suppressed: u64) -> String {
-    let message = record.args().to_string();
-    let mut line = format!("{{\"ms\":{},\"level\":\"{}\",", clock::unix_ms(), record.level());
+/// The task that writes: it owns the limit and standard output.
+#[derive(Debug)]
+struct Writer {
+    entries: mpsc::Receiver<Entry>,
+    dropped: Arc<AtomicU64>,
+    limit: Limit,
+}
+
+impl Writer {
+    async fn run(mut self) {
+        let mut text = String::new();
+        while let Some(entry) = self.entries.recv().await {
+            self.push(&entry, &mut text);
+            while let Ok(entry) = self.entries.try_recv() {
+                self.push(&entry, &mut text);
+            }
+            write_all(text.as_bytes()).await;
+            text.clear();
+        }
+    }
+
+    /// Appends an entry as a line, if the limit lets it through.
+    fn push(&mut self, entry: &Entry, text: &mut String) {
+        let urgent = entry.level <= Level::Warn;
+        if let Some(suppressed) = self.limit.pass(clock::now(), urgent) {
+            let suppressed = suppressed + self.dropped.swap(0, Ordering::Relaxed);
+            push_line(entry, suppressed, text);
+        }
+    }
+}
+
+fn push_line(entry: &Entry, suppressed: u64, text: &mut String) {
+    let Entry { unix_ms, level, message } = entry;
+    // Writing to a string does not fail.
+    let _ = write!(text, "{{\"ms\":{unix_ms},\"level\":\"{level}\",");
     if suppressed > 0 {
-        // Writing to a string does not fail.
-        let _ = write!(line, "\"suppressed\":{suppressed},");
+        let _ = write!(text, "\"suppressed\":{suppressed},");
     }
     match message.strip_prefix('{') {
-        Some(fields) => line.push_str(fields),
+        Some(fields) => text.push_str(fields),
         None => {
-            let text = serde_json::to_string(&message).unwrap_or_default();
-            let _ = write!(line, "\"message\":{text}}}");
+            let quoted = serde_json::to_string(message).unwrap_or_default();
+            let _ = write!(text, "\"message\":{quoted}}}");
         }
     }
-    line.push('\n');
-    line
+    text.push('\n');
 }
 
 /// Writes a value as one line.
@@ -138,26 +174,18 @@
     let output = rustix::stdio::stdout();
     let flags = fcntl_getfl(output)?;
     fcntl_setfl(output, flags | OFlags::NONBLOCK)?;
-    let (lines, waiting) = mpsc::channel(MOST_WAITING);
-    let limit = Mutex::new(Limit::new(rate as f64, clock::now()));
-    let append = Lines { limit, lines, dropped: AtomicU64::new(0) };
-    let appender = Appender::builder().build(APPENDER, Box::new(append));
+    let (entries, waiting) = mpsc::channel(MOST_WAITING);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let queue = Queue { entries, dropped: Arc::clone(&dropped) };
+    let appender = Appender::builder().build(APPENDER, Box::new(queue));
     let root = Root::builder().appender(APPENDER).build(level);
     let config = Config::builder().appender(appender).build(root)?;
     log4rs::init_config(config)?;
-    tokio::spawn(write_lines(waiting));
+    let limit = Limit::new(rate as f64, clock::now());
+    tokio::spawn(Writer { entries: waiting, dropped, limit }.run());
     Ok(())
 }
 
-async fn write_lines(mut lines: mpsc::Receiver<String>) {
-    while let Some(mut text) = lines.recv().await {
-        while let Ok(more) = lines.try_recv() {
-            text.push_str(&more);
-        }
-        write_all(text.as_bytes()).await;
-    }
-}
-
 /// Writes bytes as far as standard output takes them, and drops the rest in the end.
 async fn write_all(mut bytes: &[u8]) {
     let mut blocked = 0;
