Have links, daemons' arguments and rejections once

Cause: the reading found the links to peers and the arguments and exit codes of a daemon written again for the gateway, and the fields of a refusal in two messages. Change: peer::Links, entry::daemon and gateway::engine::Rejection.

--- a/crates/entry/src/bin/nutmegwharfd.rs
+++ b/crates/entry/src/bin/nutmegwharfd.rs
@@ -1,28 +1,19 @@
 //! The daemon.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use derive_more::{Display, Error, From};
+use entry::daemon::{Arguments, End};
 use entry::settings::{Faults, Settings};
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Exit code for settings that do not fit.
-const BAD_SETTINGS: u8 = 2;
-/// Exit code for a stop that cut calls.
-const CUT: u8 = 3;
-
 /// Serves callers of a deployment and decides with its peers where their requests go.
 #[derive(Debug, Parser)]
 #[command(name = "nutmegwharfd", version)]
-struct Arguments {
-    /// Settings file, JSON with comments.
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
-    /// Checks the settings, tells every fault, and exits.
-    #[arg(long)]
-    check: bool,
+struct Command {
+    #[command(flatten)]
+    arguments: Arguments,
 }
 
 /// A daemon that cannot run.
@@ -39,28 +30,26 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    match run(&arguments) {
-        Ok(code) => code,
-        Err(fault) => {
-            eprintln!("{fault}");
-            ExitCode::from(if matches!(fault, Fault::Settings(_)) { BAD_SETTINGS } else { 1 })
-        }
-    }
+    let Command { arguments } = Command::parse();
+    let end = run(&arguments).unwrap_or_else(|fault| {
+        eprintln!("{fault}");
+        if matches!(fault, Fault::Settings(_)) { End::BadSettings } else { End::Failed }
+    });
+    end.into()
 }
 
-fn run(arguments: &Arguments) -> Result<ExitCode, Fault> {
+fn run(arguments: &Arguments) -> Result<End, Fault> {
     let settings = Settings::parse(&std::fs::read_to_string(&arguments.settings)?)?;
     if arguments.check {
         println!("settings are good");
-        return Ok(ExitCode::SUCCESS);
+        return Ok(End::Whole);
     }
     entry::logs::start(settings.log)?;
     let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(serve(settings))
 }
 
-async fn serve(settings: Settings) -> Result<ExitCode, Fault> {
+async fn serve(settings: Settings) -> Result<End, Fault> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -80,8 +69,8 @@
     let cut = tokio::select! {
         cut = handle.stop() => cut,
         // A second signal ends the daemon at once.
-        _ = terminate.recv() => return Ok(ExitCode::from(CUT)),
-        _ = interrupt.recv() => return Ok(ExitCode::from(CUT)),
+        _ = terminate.recv() => return Ok(End::Cut),
+        _ = interrupt.recv() => return Ok(End::Cut),
     };
-    Ok(if cut == 0 { ExitCode::SUCCESS } else { ExitCode::from(CUT) })
+    Ok(if cut == 0 { End::Whole } else { End::Cut })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod clock;
 pub mod contact;
+pub mod daemon;
 pub mod front;
 pub mod header;
 pub mod health;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,32 +3,25 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use peer::{Envelope, Hello, Keys, encode, mesh};
+use peer::{Envelope, Hello, Keys, Links, encode, mesh};
 use policy::engine::Input;
 use policy::message::Frame;
 use policy::roster::Roster;
 use quinn::Endpoint;
 use rand::RngExt;
 use serde::Serialize;
-use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 use xtra::prelude::*;
 
 use crate::keeper::{Encoded, Keeper, Seen};
 use crate::steer::{Feed, Steer};
 
-/// Frames that wait for one peer; more are dropped, as gossip repeats itself.
-const MOST_WAITING: usize = 256;
 /// The task's state.
 #[derive(xtra::Actor)]
 pub struct Peers {
-    me: u64,
     own: SocketAddr,
-    endpoint: Endpoint,
     bootstrap: Vec<SocketAddr>,
     addresses: BTreeMap<u64, SocketAddr>,
-    links: BTreeMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
-    tasks: JoinSet<()>,
+    links: Links,
     steer: Address<Steer>,
     keeper: Address<Keeper<store::Http>>,
     traffic: Traffic,
@@ -99,13 +92,10 @@
         keeper: Address<Keeper<store::Http>>,
     ) -> Self {
         Self {
-            me,
             own,
-            endpoint,
             bootstrap,
             addresses: BTreeMap::new(),
-            links: BTreeMap::new(),
-            tasks: JoinSet::new(),
+            links: Links::new(me, own, endpoint),
             steer,
             keeper,
             traffic: Traffic::default(),
@@ -121,7 +111,7 @@
             }
         };
         let size = bytes.len() as u64;
-        let sent = self.link(address).try_send(bytes).is_ok();
+        let sent = self.links.send(address, bytes);
         if sent {
             self.traffic.frames_out += 1;
             self.traffic.bytes_out += size;
@@ -129,16 +119,6 @@
             self.traffic.dropped += 1;
         }
     }
-
-    fn link(&mut self, address: SocketAddr) -> &mpsc::Sender<Vec<u8>> {
-        let (endpoint, me, own) = (self.endpoint.clone(), self.me, self.own);
-        let tasks = &mut self.tasks;
-        self.links.entry(address).or_insert_with(|| {
-            let (sender, receiver) = mpsc::channel(MOST_WAITING);
-            tasks.spawn(mesh::write(endpoint, address, me, own, receiver));
-            sender
-        })
-    }
 }
 
 impl Handler<Deliver> for Peers {
@@ -170,8 +150,8 @@
         let named = members.0.members.into_values();
         self.addresses = named.map(|member| (member.ident, member.peer)).collect();
         let known: Vec<SocketAddr> = self.addresses.values().copied().collect();
-        // A link whose sender is gone ends its task.
-        self.links.retain(|address, _| known.contains(address) || self.bootstrap.contains(address));
+        let bootstrap = &self.bootstrap;
+        self.links.retain(|address| known.contains(&address) || bootstrap.contains(&address));
     }
 }
 
@@ -204,10 +184,7 @@
     type Return = ();
 
     async fn handle(&mut self, rotate: Rotate, _: &mut Context<Self>) {
-        self.endpoint.set_server_config(Some(rotate.0.server));
-        self.endpoint.set_default_client_config(rotate.0.client);
-        // Every link opens anew with the new keys.
-        self.links.clear();
+        self.links.rotate(rotate.0);
     }
 }
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -23,7 +23,7 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 pub use advise::Advice;
-pub use call::{Call, Outcome, Refusal, Request};
+pub use call::{Call, Outcome, Refusal, Rejection, Request};
 pub use choose::Why;
 pub use dump::{Census, Dump, Stats};
 pub use health::Health;
@@ -145,14 +145,8 @@
     Refuse {
         /// The front's mark.
         token: u64,
-        /// Why.
-        refusal: Refusal,
-        /// Whether it has run.
-        outcome: Outcome,
-        /// When to try again, if that may help.
-        retry_after: Option<Span>,
-        /// What the node saw of the service.
-        census: Census,
+        /// What it gets instead.
+        rejection: Rejection,
     },
     /// An upstream is to be asked for its health.
     Probe {
--- a/crates/gateway/src/engine/call.rs
+++ b/crates/gateway/src/engine/call.rs
@@ -4,7 +4,7 @@
 use derive_more::{Display, Error};
 use model::table;
 
-use super::{Engine, Input, Output};
+use super::{Census, Engine, Input, Output};
 use crate::exchange::Event;
 use crate::trial::Draw;
 
@@ -77,6 +77,21 @@
     }
 }
 
+record! {
+    /// What a request gets in place of an upstream's answer.
+    #[derive(Copy)]
+    pub struct Rejection {
+        /// Why.
+        pub refusal: Refusal,
+        /// Whether the request has run.
+        pub outcome: Outcome,
+        /// When to try again, if that may help.
+        pub retry_after: Option<Span>,
+        /// What the node saw of the service.
+        pub census: Census,
+    }
+}
+
 /// Why a request got no answer of an upstream.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Display, Error, serde::Serialize, serde::Deserialize,
@@ -115,13 +130,13 @@
         self.stats.requests += 1;
         if let Err(refusal) = self.start(now, &request, out) {
             self.stats.refused += 1;
-            out.push(Output::Refuse {
-                token: request.token,
+            let rejection = Rejection {
                 refusal,
                 outcome: Outcome::NotRun,
                 retry_after: (refusal == Refusal::NoTable).then_some(RETRY_UNKNOWN),
                 census: self.census(now, None),
-            });
+            };
+            out.push(Output::Refuse { token: request.token, rejection });
         }
     }
 
@@ -256,7 +271,8 @@
             _ => None,
         };
         let census = self.census(now, Some(call.service));
-        out.push(Output::Refuse { token: call.token, refusal, outcome, retry_after, census });
+        let rejection = Rejection { refusal, outcome, retry_after, census };
+        out.push(Output::Refuse { token: call.token, rejection });
     }
 
     /// Forgets a call.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -201,7 +201,7 @@
     /// Returns the refusals that were put out.
     pub fn refusals(&self) -> Vec<Refusal> {
         let refusal = |one: &Output| match one {
-            Output::Refuse { refusal, .. } => Some(*refusal),
+            Output::Refuse { rejection, .. } => Some(rejection.refusal),
             _ => None,
         };
         self.out.iter().filter_map(refusal).collect()
--- a/crates/gateway/tests/once.rs
+++ b/crates/gateway/tests/once.rs
@@ -27,7 +27,7 @@
         newest = world.sends().pop().map(|(exchange, _)| exchange);
     }
     let outcome = |one: &Output| match one {
-        Output::Refuse { outcome, .. } => Some(*outcome),
+        Output::Refuse { rejection, .. } => Some(rejection.outcome),
         _ => None,
     };
     let outcomes = world.out.iter().filter_map(outcome).collect();
@@ -72,7 +72,7 @@
         }
         world.feed(Input::Late(call));
         let told = world.out.iter().find_map(|one| match one {
-            Output::Refuse { outcome, .. } => Some(*outcome),
+            Output::Refuse { rejection, .. } => Some(rejection.outcome),
             _ => None,
         });
         assert_eq!(told, Some(outcome));
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -1,9 +1,8 @@
 //! Answers that a node gives itself.
 
 use base::derive::Symbol;
-use base::prelude::*;
 use derive_more::{Display, Error};
-use gateway::engine::{Outcome, Refusal};
+use gateway::engine::{Outcome, Refusal, Rejection};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -84,11 +83,8 @@
 ///
 /// Only a request that certainly has not run gets a status that says so.
 #[must_use]
-pub fn refusal(
-    refusal: Refusal,
-    outcome: Outcome,
-    retry_after: Option<Span>,
-) -> Response<Full<Bytes>> {
+pub fn rejection(rejection: &Rejection) -> Response<Full<Bytes>> {
+    let Rejection { refusal, outcome, retry_after, .. } = *rejection;
     let page = Page { error: &refusal.to_string(), outcome: outcome.name() };
     let mut response =
         json(status(refusal, outcome), serde_json::to_vec(&page).unwrap_or_default());
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -179,11 +179,12 @@
                         return Ok(self.pass(response));
                     }
                 }
-                Directive::Refuse { refusal, outcome, retry_after, census } => {
+                Directive::Refuse(rejection) => {
                     self.key = None;
-                    let response = answer::refusal(refusal, outcome, retry_after);
-                    self.table = census.table;
-                    self.log(response.status(), refusal.to_string(), Some(census));
+                    let response = answer::rejection(&rejection);
+                    self.table = rejection.census.table;
+                    let cause = rejection.refusal.to_string();
+                    self.log(response.status(), cause, Some(rejection.census));
                     return Ok(response);
                 }
             }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -5,27 +5,18 @@
 
 use gateway::message::Frame;
 use model::registry::Member;
-use peer::{Envelope, Hello, encode, mesh};
+use peer::{Envelope, Hello, Links, encode, mesh};
 use quinn::Endpoint;
-use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 use xtra::prelude::*;
 
 use crate::steer::{Message, Way};
 
-/// Frames that wait for one node; more are dropped, as beats repeat what they say.
-const MOST_WAITING: usize = 256;
-
 /// The task's state.
 #[derive(xtra::Actor)]
 pub struct Peers {
-    me: u64,
-    own: SocketAddr,
-    endpoint: Endpoint,
     seeds: Vec<SocketAddr>,
     addresses: BTreeMap<u64, SocketAddr>,
-    links: BTreeMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
-    tasks: JoinSet<()>,
+    links: Links,
 }
 
 /// Sends a frame to a node.
@@ -50,13 +41,9 @@
     #[must_use]
     pub fn new(me: u64, own: SocketAddr, endpoint: Endpoint, seeds: Vec<SocketAddr>) -> Self {
         Self {
-            me,
-            own,
-            endpoint,
             seeds: seeds.into_iter().filter(|seed| *seed != own).collect(),
             addresses: BTreeMap::new(),
-            links: BTreeMap::new(),
-            tasks: JoinSet::new(),
+            links: Links::new(me, own, endpoint),
         }
     }
 
@@ -64,22 +51,11 @@
         match encode(&Envelope::Frame(frame)) {
             Ok(bytes) => {
                 // A full queue means that the node takes nothing; beats go on to be sent.
-                let _ = self.link(address).try_send(bytes);
+                self.links.send(address, bytes);
             }
             Err(error) => log::error!("a frame cannot be encoded: {error}"),
         }
     }
-
-    fn link(&mut self, address: SocketAddr) -> &mpsc::Sender<Vec<u8>> {
-        let (endpoint, me, own) = (self.endpoint.clone(), self.me, self.own);
-        while self.tasks.try_join_next().is_some() {}
-        let tasks = &mut self.tasks;
-        self.links.entry(address).or_insert_with(|| {
-            let (sender, receiver) = mpsc::channel(MOST_WAITING);
-            tasks.spawn(mesh::write(endpoint, address, me, own, receiver));
-            sender
-        })
-    }
 }
 
 impl Handler<Deliver> for Peers {
@@ -107,10 +83,10 @@
 
     async fn handle(&mut self, Learn(member): Learn, _: &mut Context<Self>) {
         if let Some(before) = self.addresses.insert(member.ident(), member.peer) {
-            self.links.remove(&before);
+            self.links.close(before);
         }
         // A process that has started anew knows nothing of connections to the one before it.
-        self.links.remove(&member.peer);
+        self.links.close(member.peer);
     }
 }
 
--- a/crates/node/src/steer.rs
+++ b/crates/node/src/steer.rs
@@ -253,9 +253,8 @@
             }
             Output::Pass { token } => return self.reply(token, Directive::Pass),
             Output::Await { token } => return self.reply(token, Directive::Await),
-            Output::Refuse { token, refusal, outcome, retry_after, census } => {
-                let directive = Directive::Refuse { refusal, outcome, retry_after, census };
-                return self.reply(token, directive);
+            Output::Refuse { token, rejection } => {
+                return self.reply(token, Directive::Refuse(rejection));
             }
             Output::Probe { upstream } => self.probe(upstream),
             Output::Retire { upstream } => self.idle.retire(upstream),
--- a/crates/node/src/steer/message.rs
+++ b/crates/node/src/steer/message.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use derive_more::{Display, Error};
-use gateway::engine::{Advice, Census, Dump, Health, Outcome, Refusal, Request, Why};
+use gateway::engine::{Advice, Dump, Health, Rejection, Request, Why};
 use gateway::exchange::Event;
 use gateway::gauge::Report;
 use gateway::message::Frame;
@@ -128,16 +128,7 @@
     /// Wait for the exchanges in progress.
     Await,
     /// Answer with a refusal.
-    Refuse {
-        /// Why.
-        refusal: Refusal,
-        /// Whether the request has run.
-        outcome: Outcome,
-        /// When to try again.
-        retry_after: Option<Span>,
-        /// What the node saw of the service.
-        census: Census,
-    },
+    Refuse(Rejection),
 }
 
 /// Where a request is to go.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,8 +3,10 @@
 mod codec;
 mod keys;
 mod link;
+mod links;
 pub mod mesh;
 
 pub use codec::{Envelope, Error as CodecError, Hello, MOST_FRAME, decode, encode};
 pub use keys::{Error as KeyError, Keys, Material, issue};
 pub use link::{Error as LinkError, Incoming, Outgoing, endpoint};
+pub use links::Links;
