Hold a move whose target version could not carry the traffic alone

Change: the driver weighs the service times of all answers against the target version's slots without the largest failure domains that the settings name; above half of them both versions serve until there are more. Tests in gateway/tests/trial.rs failed before: too few upstreams, one domain that carries most, a held version that turns bad.

--- a/crates/gateway/src/engine/note.rs
+++ b/crates/gateway/src/engine/note.rs
@@ -72,6 +72,17 @@
             /// Answers of the target version that were weighed here.
             samples: u32,
         },
+        /// A move is held, as the target version's upstreams are too few.
+        Held {
+            /// The service.
+            service: String,
+            /// Slots that its requests keep busy.
+            busy: f64,
+            /// Slots of the target version.
+            slots: f64,
+            /// The same without the failure domains that may be lost at a time.
+            slots_left: f64,
+        },
         /// A member is there, or is not any more.
         Member {
             /// Its name.
--- a/crates/gateway/src/engine/trials.rs
+++ b/crates/gateway/src/engine/trials.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 
 use super::{Call, Engine, Note, Output};
+use crate::demand::{self, Capacity, Demand};
 use crate::exchange::Exchange;
 use crate::message::Frame;
 use crate::trial::{self, Action, Draw, Event, Progress, State, Trial};
@@ -76,6 +77,7 @@
             since: now,
             credit: self.rng.random_range(0.0..1.0),
             judge: Judge::pooled(),
+            demand: Demand::default(),
             written: false,
             wrote_at: None,
         });
@@ -163,6 +165,7 @@
             return match trial.state {
                 State::Trying => (version == trial.target) == (call.trial != Draw::Old),
                 State::Finished if trial.is_stuck(now) => true,
+                State::Held => version == trial.target || !service.banned.contains(&version),
                 State::Switching | State::Finished => {
                     version == trial.target || !self.is_present(call.service, trial.target)
                 }
@@ -190,7 +193,7 @@
     fn witness_time(&mut self, exchange: &Exchange, failed: bool, time: Option<f64>) {
         let Some(upstream) = self.upstreams.get(exchange.upstream) else { return };
         let Some(trial) = &self.services[upstream.service].trial else { return };
-        if !matches!(trial.state, State::Trying | State::Switching) {
+        if !trial.is_open() {
             return;
         }
         let call = self.calls.get(exchange.call);
@@ -229,10 +232,7 @@
             let lead = self.members.lead_of(now, self.members.driver(now, ident));
             let driver = lead.unwrap_or(self.members.me());
             self.report_evidence(now, ident, driver, out);
-            let open = matches!(
-                self.services[key].trial.as_ref().map(|trial| trial.state),
-                Some(State::Trying | State::Switching)
-            );
+            let open = self.services[key].trial.as_ref().is_some_and(Trial::is_open);
             if driver == self.members.me() || (!open && self.is_my_turn(now, key)) {
                 self.drive(now, key, out);
             }
@@ -249,11 +249,40 @@
     fn drive(&mut self, now: Moment, key: key::Service, out: &mut Vec<Output>) {
         let proven = self.proven_at();
         let reachable = proven.is_some_and(|at| now.since(at) < REACHABLE);
+        let (target, all) = self.capacities(key);
+        let lost = self.terms.domains_lost;
         let Some(trial) = self.services[key].trial.as_mut() else { return };
-        let Some(event) = trial.look(now, reachable) else { return };
+        trial.demand.observe(now, trial.judge.work());
+        let carried = demand::is_carried(&trial.demand, &target, &all, lost);
+        let Some(event) = trial.look(now, reachable, carried) else { return };
+        if event == Event::Short {
+            out.push(Output::Note(Note::Held {
+                service: trial.service_name.clone(),
+                busy: trial.demand.slots(),
+                slots: target.without(0),
+                slots_left: target.without(lost),
+            }));
+        }
         self.step_trial(now, key, event, out);
     }
 
+    /// Returns the slots of a trial's target version, and those of all versions.
+    fn capacities(&self, key: key::Service) -> (Capacity, Capacity) {
+        let service = &self.services[key];
+        let target = service.trial.as_ref().map(|trial| trial.target);
+        let (mut of_target, mut of_all) = (Capacity::default(), Capacity::default());
+        for upstream in service.upstreams.iter().map(|at| &self.upstreams[*at]) {
+            if !upstream.is_able() || self.domains[upstream.domain].withdrawn {
+                continue;
+            }
+            of_all.add(upstream.domain, upstream.slots);
+            if Some(upstream.version) == target {
+                of_target.add(upstream.domain, upstream.slots);
+            }
+        }
+        (of_target, of_all)
+    }
+
     fn step_trial(&mut self, now: Moment, key: key::Service, event: Event, out: &mut Vec<Output>) {
         let charts = Arc::clone(&self.charts);
         let Some(trial) = self.services[key].trial.as_mut() else { return };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod charts;
 pub mod cold;
+pub mod demand;
 pub mod engine;
 pub mod exchange;
 pub mod gauge;
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -14,6 +14,8 @@
         pub retry_window: Span,
         /// Share of a service's requests that an unproven version may get.
         pub trial_share: f64,
+        /// Failure domains that may be lost at a time.
+        pub domains_lost: usize,
         /// Factor on the rate that a cold upstream bears.
         pub cold_factor: f64,
         /// Requests in one second beyond that.
@@ -32,6 +34,7 @@
             retry_slack: 60.0,
             retry_window: Span::seconds(10),
             trial_share: 0.1,
+            domains_lost: 1,
             cold_factor: 1.5,
             cold_slack: 5.0,
             probe_rate: 60.0,
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -4,6 +4,8 @@
 use base::prelude::*;
 use policy::rollout::{Finding, Judge};
 
+use crate::demand::Demand;
+
 /// Part of the allowed share that a trial uses, spread over its time and its upstreams.
 const SPREAD_PART: f64 = 0.25;
 /// Part of the allowed share that comes in short bursts at few upstreams, as some versions are bad
@@ -37,6 +39,8 @@
     pub enum State {
         /// The target version gets a small share.
         Trying = "trying",
+        /// It is good and too small to serve alone; the other versions serve too.
+        Held = "held",
         /// All traffic goes to it.
         Switching = "switching",
         /// It stays.
@@ -51,6 +55,8 @@
     pub enum Event {
         /// The evidence is enough and good.
         Enough = "enough",
+        /// The evidence is enough and good, and the upstreams are too few.
+        Short = "short",
         /// The nodes have followed the switch.
         Settled = "settled",
         /// The version is bad.
@@ -122,6 +128,8 @@
     pub credit: f64,
     /// The tests, at the driver.
     pub judge: Judge,
+    /// What the service's requests keep busy, at the driver.
+    pub demand: Demand,
     /// Whether the store has accepted the end.
     pub written: bool,
     /// When the end was last written.
@@ -145,6 +153,8 @@
                 allowed * (SPREAD_PART + BURST_PART * PERIOD.0 as f64 / BURST.0 as f64)
             }
             State::Trying => allowed * SPREAD_PART,
+            // Any version may serve.
+            State::Held => 0.0,
             State::Switching | State::Finished => 1.0,
             State::Failed => 0.0,
         };
@@ -164,11 +174,13 @@
     /// Returns what has happened, seen by the driver.
     ///
     /// `reachable` tells whether the store answers: without it a switch could not be ended.
+    /// `carried` tells whether the target version's upstreams could carry the traffic alone.
     #[must_use]
-    pub fn look(&self, now: Moment, reachable: bool) -> Option<Event> {
+    pub fn look(&self, now: Moment, reachable: bool, carried: bool) -> Option<Event> {
         match self.state {
-            State::Trying => self.look_trying(now, reachable),
-            State::Switching if self.is_bad() => Some(Event::Bad),
+            State::Trying => self.look_trying(now, reachable, carried),
+            State::Held | State::Switching if self.is_bad() => Some(Event::Bad),
+            State::Held => (reachable && carried && self.is_clear()).then_some(Event::Enough),
             State::Switching => (now.since(self.since) >= SETTLE).then_some(Event::Settled),
             State::Finished | State::Failed => {
                 let due = self.wrote_at.is_none_or(|at| now.since(at) >= WRITE_AGAIN);
@@ -177,26 +189,36 @@
         }
     }
 
-    fn look_trying(&self, now: Moment, reachable: bool) -> Option<Event> {
+    fn look_trying(&self, now: Moment, reachable: bool, carried: bool) -> Option<Event> {
         if self.is_bad() {
             return Some(Event::Bad);
         }
         let part = now.since(self.start).0 as f64 / self.duration.0.max(1) as f64;
         let telling = self.judge.telling();
-        let clear = self.judge.finding() == Finding::Clear;
         let enough = (part >= TRY_PART && telling >= ENOUGH)
             || (part >= HURRY_PART && telling >= ENOUGH_LATE);
         match () {
-            () if enough && clear => reachable.then_some(Event::Enough),
+            () if enough && self.is_clear() && carried => reachable.then_some(Event::Enough),
+            () if enough && self.is_clear() => (part >= 1.0).then_some(Event::Short),
             () if part >= LAST_PART => Some(Event::Overdue),
             () => None,
         }
     }
 
+    fn is_clear(&self) -> bool {
+        self.judge.finding() == Finding::Clear
+    }
+
     fn is_bad(&self) -> bool {
         matches!(self.judge.finding(), Finding::Bad(_))
     }
 
+    /// Tells whether what upstreams do still counts.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        matches!(self.state, State::Trying | State::Held | State::Switching)
+    }
+
     /// Tells whether the switch has ended while the store did not accept that, so that the other
     /// versions are still there.
     #[must_use]
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -125,6 +125,12 @@
         matches!(self.state, State::Down | State::Failing) && now >= self.rested_at
     }
 
+    /// Tells whether it could serve, as far as is known.
+    #[must_use]
+    pub fn is_able(&self) -> bool {
+        matches!(self.state, State::Unproven | State::Cold | State::Warm)
+    }
+
     /// Counts a good answer.
     pub fn credit(&mut self) {
         self.run = 0;
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use common::{World, table, upstream};
 use gateway::engine::Refusal;
+use gateway::exchange::Event;
 use gateway::message::{Beat, Frame, Proof};
 use model::registry::{Fact, Kind};
 use model::table::Table;
@@ -23,7 +24,9 @@
 fn lapsed_upstream_serves_until_it_should_be_back() {
     let mut world = World::new(&[upstream("e1", "east"), upstream("e2", "east")]);
     world.batch(Kind::Upstreams, vec![("e1", None), ("e2", None)], true);
-    assert!(world.place("/read/1").is_some(), "it may come back");
+    let (exchange, _) = world.place("/read/1").expect("one of them, as it may come back");
+    world.happen(exchange, Event::Sent);
+    world.happen(exchange, Event::Answered);
     world.facts(Kind::Upstreams, vec![("e2", Some(Fact::Upstream(upstream("e2", "east"))))]);
     world.pass(Span::millis(2_400));
     for _ in 0..4 {
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -6,7 +6,7 @@
 use common::{World, upstream};
 use gateway::engine::{Input, Order, Output};
 use gateway::exchange::Event;
-use model::registry::{Fact, Kind, Phase, Rollout};
+use model::registry::{Fact, Kind, Phase, Rollout, Upstream};
 
 /// What is wrong with the target version.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -14,6 +14,8 @@
     None,
     Fails,
     FailsLate,
+    /// It fails after the deadline only.
+    FailsAtLast,
     Slow,
     /// Two fifths of its answers are slow, at half the rate of requests.
     SlowInPart,
@@ -29,6 +31,10 @@
 struct Ended {
     orders: Vec<Order>,
     exposed: u64,
+    /// Requests that reached the target version after the deadline.
+    late_targets: u64,
+    /// Failed answers of upstreams.
+    failed: u64,
     requests: u64,
 }
 
@@ -38,13 +44,31 @@
 }
 
 fn play_with(badness: Badness, store: bool) -> Ended {
-    let mut all: Vec<_> = (0..9).map(|number| upstream(&format!("a{number}"), "east")).collect();
-    all.extend((0..9).map(|number| {
-        let id = format!("b{number}");
-        model::registry::Upstream { version: "v2".into(), ..upstream(&id, "east") }
-    }));
+    play_fleet(badness, store, &old_fleet("east", 9), &target_fleet("east", 9), DURATION)
+}
+
+/// Makes upstreams of the old version in one failure domain.
+fn old_fleet(domain: &str, count: usize) -> Vec<Upstream> {
+    (0..count).map(|number| upstream(&format!("a-{domain}-{number}"), domain)).collect()
+}
+
+/// Makes upstreams of the target version in one failure domain.
+fn target_fleet(domain: &str, count: usize) -> Vec<Upstream> {
+    let target = |number| Upstream {
+        version: "v2".into(),
+        ..upstream(&format!("b-{domain}-{number}"), domain)
+    };
+    (0..count).map(target).collect()
+}
+
+fn play_fleet(
+    badness: Badness,
+    store: bool,
+    old: &[Upstream],
+    new: &[Upstream],
+    time: Span,
+) -> Ended {
     // The old version was there before.
-    let (old, new) = all.split_at(9);
     let mut world = World::new(old);
     let target = "v2".to_owned();
     world.rollout(Rollout {
@@ -57,8 +81,9 @@
     world.facts(Kind::Upstreams, facts.collect());
     let start = world.now;
     let mut running: Vec<(Moment, key::Attempt, Event)> = Vec::new();
-    let mut ended = Ended { orders: Vec::new(), exposed: 0, requests: 0 };
-    while world.now.since(start) < DURATION {
+    let mut ended =
+        Ended { orders: Vec::new(), exposed: 0, late_targets: 0, failed: 0, requests: 0 };
+    while world.now.since(start) < time {
         let rate = if badness == Badness::SlowInPart { RATE / 2 } else { RATE };
         world.now = world.now + Span::millis(1_000 / rate);
         let now = world.now;
@@ -75,17 +100,22 @@
             world.happen(exchange, Event::Sent);
             let target = id.starts_with('b');
             ended.exposed += u64::from(target);
+            ended.late_targets += u64::from(target && now.since(start) > DURATION);
             let bad = target && number.is_multiple_of(2);
             let late = now.since(start) > Span::seconds(7);
             let (time, event) = match badness {
                 Badness::Fails if bad => (60, Event::Failed),
                 Badness::FailsLate if bad && late => (60, Event::Failed),
+                Badness::FailsAtLast if bad && now.since(start) > Span::seconds(17) => {
+                    (60, Event::Failed)
+                }
                 Badness::Slow if bad => (480, Event::Answered),
                 Badness::SlowInPart if target && number % 5 < 2 => (480, Event::Answered),
-                Badness::OneUpstream if id == "b3" && bad => (60, Event::Failed),
-                Badness::OneUpstream if id == "b3" => (320, Event::Answered),
+                Badness::OneUpstream if id == "b-east-3" && bad => (60, Event::Failed),
+                Badness::OneUpstream if id == "b-east-3" => (320, Event::Answered),
                 _ => (55 + number % 20, Event::Answered),
             };
+            ended.failed += u64::from(event == Event::Failed);
             running.push((now + Span::millis(time), exchange, event));
         }
         if number.is_multiple_of(10) {
@@ -117,6 +147,37 @@
     assert_eq!(ended.orders.first().map(|order| order.phase), Some(Phase::Completed));
 }
 
+/// Completing ends the old version's upstreams, so callers would find too few of the new ones.
+#[test]
+fn rollout_onto_too_few_upstreams_lets_both_versions_serve() {
+    let (old, new) = (old_fleet("east", 3), target_fleet("east", 3));
+    let ended = play_fleet(Badness::None, true, &old, &new, Span::seconds(20));
+    assert_eq!(ended.orders, []);
+    let late = ended.requests * 6 / 20;
+    assert!(ended.late_targets * 5 > late, "{} of {late}", ended.late_targets);
+}
+
+/// Most of the target version's upstreams are in a failure domain that may be lost at any time.
+#[test]
+fn rollout_that_one_domain_carries_lets_both_versions_serve() {
+    let mut new = target_fleet("east", 8);
+    new.extend(target_fleet("west", 2));
+    let mut old = old_fleet("east", 5);
+    old.extend(old_fleet("west", 5));
+    let ended = play_fleet(Badness::None, true, &old, &new, Span::seconds(20));
+    assert_eq!(ended.orders, []);
+}
+
+/// A version that turns bad while both serve is still taken back.
+#[test]
+fn rollout_held_that_is_bad_is_rolled_back() {
+    let (old, new) = (old_fleet("east", 3), target_fleet("east", 3));
+    let ended = play_fleet(Badness::FailsAtLast, true, &old, &new, Span::seconds(60));
+    let phases: Vec<Phase> = ended.orders.iter().map(|order| order.phase).collect();
+    assert!(!phases.is_empty() && phases.iter().all(|phase| *phase == Phase::RolledBack));
+    assert!(ended.failed < 50, "{}", ended.failed);
+}
+
 /// A switch without the store could not be ended, and half of the upstreams would stand idle.
 #[test]
 fn rollout_good_waits_for_the_store() {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -87,6 +87,14 @@
     }
 }
 
+/// Failure domains that settings may name as lost at a time.
+const MOST_DOMAINS: u64 = 1_000;
+
+fn domains_lost(reader: &mut Reader, default: usize) -> usize {
+    let count = reader.count("terms.domains_lost", default as u64, 0, MOST_DOMAINS);
+    usize::try_from(count).unwrap_or(default)
+}
+
 fn terms(reader: &mut Reader) -> Terms {
     let default = Terms::default();
     let time = |span: Span| Duration::from(span);
@@ -95,6 +103,7 @@
         retry_slack: reader.number("terms.retry_slack", default.retry_slack),
         retry_window: reader.duration("terms.retry_window", time(default.retry_window)).into(),
         trial_share: reader.number("terms.trial_share", default.trial_share),
+        domains_lost: domains_lost(reader, default.domains_lost),
         cold_factor: reader.number("terms.cold_factor", default.cold_factor),
         cold_slack: reader.number("terms.cold_slack", default.cold_slack),
         probe_rate: reader.number("terms.probe_rate", default.probe_rate),
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -83,6 +83,19 @@
         }
     }
 
+    /// Returns the sum of the service times in microseconds, taking those that are not known for
+    /// like the others.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        let known: u32 = self.times.iter().sum();
+        if known == 0 {
+            return 0.0;
+        }
+        let times = self.times.iter().enumerate();
+        let sum: f64 = times.map(|(bucket, count)| f64::from(*count) * middle(bucket)).sum();
+        sum / f64::from(known) * f64::from(self.count)
+    }
+
     /// Adds the counts of another tally.
     pub fn merge(&mut self, other: &Self) {
         self.count += other.count;
@@ -118,6 +131,11 @@
     }
 }
 
+/// Returns a time in the middle of a bucket, in microseconds.
+fn middle(bucket: usize) -> f64 {
+    FIRST_US * ((bucket as f64 - 0.5) / 2.0).exp2()
+}
+
 fn bucket(service_us: f64) -> usize {
     let position = (2.0 * (service_us / FIRST_US).max(1e-9).log2()).ceil();
     (position.max(0.0) as usize).min(BUCKETS - 1)
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -71,6 +71,8 @@
     failing_pools: BTreeMap<u64, Pool>,
     samples: u32,
     telling: u32,
+    /// Service times of all answers of both versions, in microseconds.
+    work: f64,
 }
 
 /// Sums of one test, over all upstreams and of each.
@@ -102,7 +104,11 @@
         for row in rows {
             let known = self.seen.insert((member, row.place), row.tally.clone());
             match known {
-                Some(known) => self.weigh(row.place, &row.tally.since(&known)),
+                Some(known) => {
+                    let delta = row.tally.since(&known);
+                    self.work += delta.work();
+                    self.weigh(row.place, &delta);
+                }
                 None if from_start => self.weigh(row.place, &row.tally),
                 None => {}
             }
@@ -122,6 +128,14 @@
         self.telling
     }
 
+    /// Returns the sum of the service times of all answers of both versions, in microseconds.
+    ///
+    /// What members had counted before they first told is left out.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        self.work
+    }
+
     /// Says what the evidence says.
     #[must_use]
     pub fn finding(&self) -> Finding {
