Name callers of a withdrawn domain nodes of the others

Change: the directory leaves withdrawn domains out while another one is there. Test advise_names_no_node_of_a_withdrawn_domain failed before.

--- a/crates/gateway/src/engine/advise.rs
+++ b/crates/gateway/src/engine/advise.rs
@@ -37,6 +37,10 @@
         if !self.leaving && (self.is_ready() || all.is_empty()) {
             all.push((own.domain.as_str(), own.caller));
         }
+        // A request that enters a withdrawn domain has to leave it again.
+        if all.iter().any(|one| !self.is_withdrawn(one.0)) {
+            all.retain(|one| !self.is_withdrawn(one.0));
+        }
         let is_near = |one: &&(&str, SocketAddr)| Some(one.0) == domain;
         let near: Vec<SocketAddr> = all.iter().filter(is_near).map(|one| one.1).collect();
         let mut addresses =
@@ -44,4 +48,9 @@
         addresses.truncate(MOST);
         Advice { addresses, time: KEPT.min(self.terms.advice_time) }
     }
+
+    fn is_withdrawn(&self, domain: &str) -> bool {
+        let known = self.domain_names.get(domain);
+        known.is_some_and(|key| self.domains[*key].withdrawn)
+    }
 }
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -8,7 +8,8 @@
 use common::fleet::Fleet;
 use gateway::Terms;
 use gateway::engine::{Input, Output, Request};
-use model::registry::Member;
+use gateway::view::Batch;
+use model::registry::{Fact, Item, Kind, Member};
 
 const DOMAINS: [(&str, usize); 4] = [("east", 5), ("west", 5), ("north", 3), ("south", 3)];
 
@@ -91,6 +92,35 @@
     assert_eq!(engine.advise(fleet.now, None).addresses.len(), fleet.members.len());
 }
 
+/// Requests that enter where nothing may serve them cross between domains, twice.
+#[test]
+fn advise_names_no_node_of_a_withdrawn_domain() {
+    let mut fleet = Fleet::new(&DOMAINS);
+    fleet.pass(Span::seconds(8));
+    let ident = fleet.members[0].ident();
+    withdraw(&mut fleet, ident, &["east"]);
+    let named = fleet.engines[&ident].advise(fleet.now, Some("east")).addresses;
+    let east = fleet.members.iter().filter(|one| one.domain == "east");
+    assert!(!named.is_empty());
+    for member in east {
+        assert!(!named.contains(&member.caller), "{}", member.name);
+    }
+    withdraw(&mut fleet, ident, &["east", "west", "north", "south"]);
+    let named = fleet.engines[&ident].advise(fleet.now, Some("east")).addresses;
+    assert!(!named.is_empty(), "somebody has to refuse");
+}
+
+/// Lets a node read that domains are withdrawn.
+fn withdraw(fleet: &mut Fleet, ident: u64, domains: &[&str]) {
+    let at = fleet.engines[&ident].revision(Kind::Withdrawals) + 1;
+    let item =
+        |name: &&str| Item { name: (*name).to_owned(), revision: at, fact: Some(Fact::Withdrawal) };
+    let items = domains.iter().map(item).collect();
+    let batch = Batch { after: None, at, outage: false, items };
+    let kind = Kind::Withdrawals;
+    fleet.feed(ident, Input::Facts { kind, batch, asked_at: fleet.now });
+}
+
 #[test]
 fn advise_leaves_out_the_dead_within_three_seconds() {
     let mut fleet = Fleet::new(&DOMAINS);
