Ask other upstreams after those whose health a call awaited in vain

Change: a call does not ask twice an upstream that it has waited for in vain, and prefers others to it. Test place_asks_others_when_its_domain_is_silent failed before.

--- a/crates/gateway/src/engine/call.rs
+++ b/crates/gateway/src/engine/call.rs
@@ -62,6 +62,8 @@
         pub may_have_run: bool,
         /// Upstreams whose health it waits for.
         pub probes: Vec<key::Upstream>,
+        /// Upstreams whose health it waited for in vain.
+        pub silent: Vec<key::Upstream>,
         /// When it stops waiting for them.
         pub probes_until: Option<Moment>,
         /// Rounds of such questions so far.
@@ -179,6 +181,7 @@
             repeats: 0,
             may_have_run: false,
             probes: Vec::new(),
+            silent: Vec::new(),
             probes_until: None,
             rounds: 0,
         });
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -57,7 +57,11 @@
             self.restore_trial(service);
             candidates = self.candidates(now, key);
         }
-        candidates.sort_by(|one, other| one.cost.total_cmp(&other.cost));
+        let silent = &self.calls[key].silent;
+        candidates.sort_by(|one, other| {
+            let silence = |one: &Candidate| silent.contains(&one.upstream);
+            silence(one).cmp(&silence(other)).then(one.cost.total_cmp(&other.cost))
+        });
         if self.ask(now, key, &candidates, out) {
             return;
         }
@@ -123,6 +127,9 @@
     }
 
     /// Asks the likeliest upstreams for their health if the best of them is not known well.
+    ///
+    /// Those that a call has waited for in vain are not asked again for it: full ones answer late,
+    /// and others may be idle.
     fn ask(
         &mut self,
         now: Moment,
@@ -130,8 +137,10 @@
         candidates: &[Candidate],
         out: &mut Vec<Output>,
     ) -> bool {
-        let Some(best) = candidates.first() else { return false };
         let call = &self.calls[key];
+        let heard = candidates.iter().filter(|one| !call.silent.contains(&one.upstream));
+        let heard: Vec<Candidate> = heard.copied().collect();
+        let Some(best) = heard.first() else { return false };
         let waited = now.since(call.arrived);
         let must = candidates.iter().all(|one| one.unproven);
         let rounds = if must { ROUNDS * 2 } else { ROUNDS };
@@ -139,8 +148,8 @@
             return false;
         }
         let mut asked = Vec::new();
-        let old = candidates.iter().filter(|one| one.old);
-        let most = if best.near { ASKED } else { ASKED_AWAY };
+        let old = heard.iter().filter(|one| one.old);
+        let most = if best.near || must { ASKED } else { ASKED_AWAY };
         for candidate in old.filter(|one| one.near == best.near).take(most) {
             if self.probe(now, candidate.upstream, out) {
                 asked.push(candidate.upstream);
@@ -149,7 +158,8 @@
         if asked.is_empty() {
             return false;
         }
-        let until = now + if must { PROBE_WAIT_MOST } else { PROBE_WAIT };
+        let last = asked.len() == heard.len();
+        let until = now + if must && last { PROBE_WAIT_MOST } else { PROBE_WAIT };
         let call = &mut self.calls[key];
         call.rounds += 1;
         call.probes = asked;
@@ -183,7 +193,7 @@
         if let Some(until) = call.probes_until.take() {
             self.waits.remove(&(until, key));
         }
-        call.probes.clear();
+        call.silent.append(&mut call.probes);
         self.place(now, key, out);
     }
 
--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -44,6 +44,22 @@
     assert_eq!(world.sends()[0].1, "e2");
 }
 
+/// After a restart the own domain's upstreams may be full and slow to say so, while those of other
+/// domains, of which nothing is known yet, are idle.
+#[test]
+fn place_asks_others_when_its_domain_is_silent() {
+    let mut world = World::new(&two_domains());
+    world.request("/read/1");
+    for _ in 0..8 {
+        world.answer_some_probes(|id| id.starts_with('w').then(|| told(0, 1.0)));
+        world.now = world.now + Span::millis(5);
+        world.feed(Input::Wake);
+    }
+    let sends = world.sends();
+    assert_eq!(world.refusals(), []);
+    assert_eq!(sends.first().map(|send| send.1.as_str()), Some("w1"));
+}
+
 #[test]
 fn place_leaves_its_domain_when_that_is_slow() {
     let mut world = World::new(&two_domains());
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -164,6 +164,21 @@
         }
     }
 
+    /// Answers some of the questions for health that were put out; others get no answer.
+    pub fn answer_some_probes(&mut self, health: impl Fn(&str) -> Option<Health>) {
+        let asked = |one: &Output| match one {
+            Output::Probe { upstream } => Some(*upstream),
+            _ => None,
+        };
+        let upstreams: Vec<key::Upstream> = self.out.iter().filter_map(asked).collect();
+        self.out.retain(|one| asked(one).is_none());
+        for upstream in upstreams {
+            if let Some(health) = health(&self.id(upstream)) {
+                self.feed(Input::Probed { upstream, health });
+            }
+        }
+    }
+
     /// Answers those questions with idle upstreams at the usual pace.
     pub fn answer_well(&mut self) {
         self.answer_probes(|_| told(0, 1.0));
