Let one reader of each node find out when the store is back

Change: only the reader of upstreams goes on trying; the others follow its success, spread over 300 ms, or try after 4 s. Those whose node no longer watches wait for that. Test lost_store_is_tried_by_one_reader failed with the telling taken out (4 calls of each kind in 2.5 s).

--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -1,4 +1,7 @@
 //! Tasks that read one kind of fact each from the store and watch for changes.
+//!
+//! While the store is away only one of them, that of [`PROBING`], goes on trying; the others follow
+//! once it has an answer, as every call of every node counts while the store recovers.
 
 use std::time::Duration;
 
@@ -25,6 +28,12 @@
 const PAUSE: Span = Span::millis(150);
 /// Longest pause after failures.
 const MOST_PAUSE: Span = Span::millis(1_200);
+/// The kind whose reader finds out whether the store is there.
+const PROBING: Kind = Kind::Upstreams;
+/// Longest time for which the other readers leave that to it.
+const FOLLOW_MOST: Duration = Duration::from_secs(4);
+/// Time over which they spread their first calls to a store that is back.
+const SPREAD: Span = Span::millis(300);
 /// Time without an answer after which the store counts as having been away.
 const AWAY: Span = Span::millis(900);
 
@@ -44,6 +53,10 @@
     kind: Kind,
     steer: Way,
     watching: watch::Receiver<bool>,
+    /// Whether the store has answered lately.
+    present: watch::Sender<bool>,
+    /// Whether everything was read once.
+    listed: bool,
     /// Revision after which to watch; zero if everything has to be read.
     after: u64,
     /// Revision that an answer without changes named, which the next one may confirm.
@@ -55,14 +68,22 @@
 }
 
 impl<R: Registry> Reader<R> {
-    /// Makes the task's state.
+    /// Makes the task's state; all readers of a node share `present`.
     #[must_use]
-    pub fn new(store: R, kind: Kind, steer: Way, watching: watch::Receiver<bool>) -> Self {
+    pub fn new(
+        store: R,
+        kind: Kind,
+        steer: Way,
+        watching: watch::Receiver<bool>,
+        present: watch::Sender<bool>,
+    ) -> Self {
         Self {
             store,
             kind,
             steer,
             watching,
+            present,
+            listed: false,
             after: 0,
             quiet: None,
             proven_at: Moment::default(),
@@ -74,7 +95,7 @@
     /// Runs the task until the decisions end.
     pub async fn run(mut self) {
         loop {
-            if self.after > 0 && !*self.watching.borrow_and_update() {
+            if self.may_rest() && !*self.watching.borrow_and_update() {
                 if self.watching.changed().await.is_err() {
                     return;
                 }
@@ -98,6 +119,7 @@
                 Ok(()) => {
                     self.pause = PAUSE;
                     self.lost_at = None;
+                    self.tell_present(true);
                 }
                 Err(Error::Compacted) => self.after = 0,
                 Err(error) => self.lost(asked_at, &error).await,
@@ -105,6 +127,20 @@
         }
     }
 
+    /// Tells whether this reader has nothing to do unless the node watches.
+    ///
+    /// The one that finds out about the store first ends what it has begun, as it alone tells for
+    /// how long the store was away.
+    fn may_rest(&self) -> bool {
+        self.after > 0 || (self.listed && self.kind != PROBING)
+    }
+
+    fn tell_present(&self, present: bool) {
+        if self.kind == PROBING {
+            self.present.send_replace(present);
+        }
+    }
+
     async fn list(&mut self, asked_at: Moment) -> Result<(), Error> {
         let Listing { items, at } = self.store.list(self.kind).await?;
         let away = self.lost_at.map_or(Span::ZERO, |lost| clock::now().since(lost));
@@ -117,6 +153,7 @@
         let batch = Batch { after: None, at, outage, items };
         self.steer.post(Message::Facts { kind: self.kind, batch, asked_at });
         self.after = at;
+        self.listed = true;
         self.proven_at = asked_at;
         self.quiet = None;
         Ok(())
@@ -182,6 +219,25 @@
         }
         // What was missed meanwhile shows only in everything.
         self.after = 0;
+        self.tell_present(false);
+        self.back_off().await;
+        if self.kind != PROBING {
+            self.follow().await;
+        }
+    }
+
+    /// Waits until the store is there again, as far as the node knows.
+    async fn follow(&mut self) {
+        let mut present = self.present.subscribe();
+        let back =
+            async { while !*present.borrow_and_update() && present.changed().await.is_ok() {} };
+        // Whether it came back or the time is over, the next call tells.
+        let _ = tokio::time::timeout(FOLLOW_MOST, back).await;
+        let part = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(SPREAD.scale(part).into()).await;
+    }
+
+    async fn back_off(&mut self) {
         let jitter = rand::rng().random_range(0.5..1.5);
         tokio::time::sleep(self.pause.scale(jitter).into()).await;
         self.pause = (self.pause + self.pause).min(MOST_PAUSE);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -106,8 +106,10 @@
     tasks.spawn(xtra::run(mailbox, Contact::new(store.another(), way.clone())));
 
     let (watching, watched) = watch::channel(false);
+    let (present, _) = watch::channel(true);
     for kind in WATCHED {
-        let reader = Reader::new(store.another(), kind, way.clone(), watched.clone());
+        let reader =
+            Reader::new(store.another(), kind, way.clone(), watched.clone(), present.clone());
         tasks.spawn(reader.run());
     }
     tasks.spawn(contact::enter(store, own, way.clone()));
--- /dev/null
+++ b/crates/node/tests/reader.rs
@@ -0,0 +1,107 @@
+//! Tests of how readers of the store behave while it is away.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use model::registry::{Kind, Member, Phase};
+use node::reader::Reader;
+use node::steer::{Message, Way};
+use store::{Error, Listing, Registry};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// A store that can be away and counts its calls by kind.
+#[derive(Clone, Default)]
+struct Store {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    away: bool,
+    calls: BTreeMap<Kind, u32>,
+}
+
+impl Store {
+    fn call(&self, kind: Kind) -> Result<Listing, Error> {
+        let mut state = self.state.lock().expect("no thread has panicked");
+        *state.calls.entry(kind).or_default() += 1;
+        if state.away {
+            return Err(Error::Status { status: 503 });
+        }
+        Ok(Listing { items: Vec::new(), at: 7 })
+    }
+
+    /// Returns the calls by kind since the last time, and sets whether the store is away.
+    fn set_away(&self, away: bool) -> BTreeMap<Kind, u32> {
+        let mut state = self.state.lock().expect("no thread has panicked");
+        state.away = away;
+        std::mem::take(&mut state.calls)
+    }
+}
+
+impl Registry for Store {
+    fn another(&self) -> Self {
+        self.clone()
+    }
+
+    async fn list(&mut self, kind: Kind) -> Result<Listing, Error> {
+        self.call(kind)
+    }
+
+    async fn watch(&mut self, kind: Kind, _: u64, wait: Duration) -> Result<Listing, Error> {
+        let answer = self.call(kind);
+        if answer.is_ok() {
+            sleep(wait.min(Duration::from_millis(400))).await;
+        }
+        answer
+    }
+
+    async fn enter(&mut self, _: &Member) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn end(&mut self, _: &str, _: &str, phase: Phase) -> Result<Phase, Error> {
+        Ok(phase)
+    }
+}
+
+const KINDS: [Kind; 4] = [Kind::Upstreams, Kind::Table, Kind::Rollouts, Kind::Withdrawals];
+
+/// While the store is away one kind finds out when it is back; then all are read.
+#[tokio::test]
+async fn lost_store_is_tried_by_one_reader() {
+    let store = Store::default();
+    let (watching, watched) = watch::channel(true);
+    let (present, _) = watch::channel(true);
+    let (way, mut inbox) = Way::new();
+    let mut readers = JoinSet::new();
+    for kind in KINDS {
+        let reader =
+            Reader::new(store.clone(), kind, way.clone(), watched.clone(), present.clone());
+        readers.spawn(reader.run());
+    }
+    sleep(Duration::from_millis(600)).await;
+    store.set_away(true);
+    sleep(Duration::from_millis(2_500)).await;
+    while inbox.try_recv().is_ok() {}
+    let calls = store.set_away(false);
+    assert!(calls[&Kind::Upstreams] >= 3, "{calls:?}");
+    let others = KINDS[1..].iter().map(|kind| calls.get(kind).copied().unwrap_or_default());
+    assert!(others.clone().all(|count| count <= 2), "{calls:?}");
+
+    let mut read: Vec<Kind> = Vec::new();
+    let all = async {
+        while read.len() < KINDS.len() {
+            if let Some(Message::Facts { kind, .. }) = inbox.recv().await
+                && !read.contains(&kind)
+            {
+                read.push(kind);
+            }
+        }
+    };
+    timeout(Duration::from_secs(4), all).await.expect("every kind is read again");
+    assert!(*watching.borrow());
+}
