Explain a request from the logs of all nodes, and name its time once

Cause: an on-call engineer had to put the lines of several nodes in order and know what to look for. The first try of the new command also found a fault of the log: a request's line had two fields `ms`, its time of day and its duration, and a reader of JSON keeps one of them, so that sorting by time put every failed request at the beginning. Ruled out: asking the nodes (they keep nothing, and may be gone). Change: `nutmegwharf explain ID < logs`, in crates/trace; `took_ms` for the duration.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,7 +6,7 @@
 use std::io::IsTerminal;
 use std::process::ExitCode;
 
-use clap::{CommandFactory, Parser};
+use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 
 use client::{Answer, Client, Fault};
@@ -20,7 +20,7 @@
 
 /// Asks a deployment what is serving where, and orders changes.
 #[derive(Debug, Parser)]
-#[command(name = "nutmegwharf", version, after_help = lang::help::SUMMARY)]
+#[command(name = "nutmegwharf", version, args_conflicts_with_subcommands = true, after_help = lang::help::SUMMARY)]
 struct Arguments {
     /// An entry's address for operators.
     #[arg(long, env = "NUTMEGWHARF_ENTRY", default_value = "127.0.0.1:7101")]
@@ -42,6 +42,18 @@
     completion: Option<Shell>,
     /// The statement; its words are joined by blanks.
     statement: Vec<String>,
+    #[command(subcommand)]
+    local: Option<Local>,
+}
+
+/// What the tool does by itself, without an entry.
+#[derive(Debug, Subcommand)]
+enum Local {
+    /// Reads nodes' logs from standard input and tells why a request failed or was late.
+    Explain {
+        /// The request's identity, as the caller sent it.
+        id: String,
+    },
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -56,6 +68,9 @@
         );
         return ExitCode::SUCCESS;
     }
+    if let Some(Local::Explain { id }) = &arguments.local {
+        return explain(id, arguments.json);
+    }
     match run(&arguments).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
@@ -65,6 +80,19 @@
     }
 }
 
+fn explain(id: &str, json: bool) -> ExitCode {
+    match trace::Account::read(id, std::io::stdin().lock()) {
+        Ok(account) => {
+            print::account(&account, json);
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
 async fn run(arguments: &Arguments) -> Result<(), Fault> {
     let text = arguments.statement.join(" ");
     lang::parse(&text).map_err(Fault::Syntax)?;
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -1,5 +1,7 @@
 //! Printing answers for people and for programs.
 
+use trace::Account;
+
 use crate::client::Answer;
 
 /// Prints an answer.
@@ -17,6 +19,23 @@
     }
 }
 
+/// Prints what is known of a request: the lines that bear on it, and why it ended as it did.
+pub fn account(account: &Account, json: bool) {
+    if json {
+        match serde_json::to_string(account) {
+            Ok(text) => println!("{text}"),
+            Err(error) => eprintln!("{error}"),
+        }
+        return;
+    }
+    for line in &account.lines {
+        println!("{} {}", line.node, line.text);
+    }
+    for cause in &account.causes {
+        println!("cause: {cause}");
+    }
+}
+
 fn table(columns: &[String], rows: &[Vec<String>], terminal: bool) {
     let width = |column: usize| {
         let cells = rows.iter().filter_map(|row| row.get(column)).map(|cell| cell.chars().count());
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -51,7 +51,7 @@
     path: &'a str,
     status: u16,
     cause: String,
-    ms: u64,
+    took_ms: u64,
     table: u64,
     sends: &'a [Step],
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -266,7 +266,7 @@
             path: self.whole.head.uri.path(),
             status: status.as_u16(),
             cause,
-            ms: millis(took),
+            took_ms: millis(took),
             table: self.table,
             sends: &sends,
             seen,
--- /dev/null
+++ b/crates/trace/src/cause.rs
@@ -0,0 +1,202 @@
+//! Why a request failed or was late.
+
+use base::record;
+use derive_more::Display;
+
+use crate::line::{Line, Record, Request, Send};
+
+/// Times of the expected one from which on a send counts as slow.
+const SLOW: u64 = 2;
+/// Time after a request within which an upstream's end explains a broken connection, in ms.
+const AFTER_MS: u64 = 2_000;
+/// The same before the request, in ms.
+const BEFORE_MS: u64 = 500;
+
+record! {
+    /// Why a request failed or was late.
+    #[derive(Display)]
+    pub enum Cause {
+        /// It was answered as expected.
+        #[display("answered as expected")]
+        Expected,
+        /// The node had no routes.
+        #[display("the node knew no routes yet: it had just started, or could not reach the store")]
+        NoRoutes,
+        /// No route fits.
+        #[display("no route of table {table} fits its host and path")]
+        NoRoute {
+            /// Version of the routes.
+            table: u64,
+        },
+        /// Upstreams of withdrawn domains were missing.
+        #[display(
+            "not run: {withdrawn} upstreams are in withdrawn domains ({domains}), and of the \
+             {warm} ready ones {full} had no free slot"
+        )]
+        Withdrawn {
+            /// Upstreams in withdrawn domains.
+            withdrawn: u32,
+            /// The domains, joined by commas.
+            domains: String,
+            /// Upstreams that are ready.
+            warm: u32,
+            /// Those of them without a free slot.
+            full: u32,
+        },
+        /// Nothing could take it.
+        #[display("not run: of {warm} ready upstreams {full} had no free slot, {failing} failed")]
+        Full {
+            /// Upstreams that are ready.
+            warm: u32,
+            /// Those of them without a free slot.
+            full: u32,
+            /// Upstreams that fail or are out of reach.
+            failing: u32,
+        },
+        /// Upstreams refused it.
+        #[display("not run: refused by {upstreams}, and no repeat was left")]
+        Refused {
+            /// The upstreams, joined by commas.
+            upstreams: String,
+        },
+        /// The connection to an upstream broke.
+        #[display("outcome unknown: the connection to {upstream} broke; {}", life(*down))]
+        Broken {
+            /// The upstream.
+            upstream: String,
+            /// Whether nodes found it out of reach around that time.
+            down: bool,
+        },
+        /// An upstream failed.
+        #[display("{upstream} answered with a failure")]
+        Failed {
+            /// The upstream.
+            upstream: String,
+        },
+        /// No answer came in time.
+        #[display("{upstream} had not answered after {ms} ms, {expected_ms} were expected")]
+        Silent {
+            /// The upstream.
+            upstream: String,
+            /// Time waited, in milliseconds.
+            ms: u64,
+            /// Expected time, in milliseconds.
+            expected_ms: u64,
+        },
+        /// An upstream was slow.
+        #[display(
+            "late behind {upstream}: {ms} ms, {expected_ms} expected from a report {age_ms} ms old"
+        )]
+        Slow {
+            /// The upstream.
+            upstream: String,
+            /// Time that it took, in milliseconds.
+            ms: u64,
+            /// Expected time, in milliseconds.
+            expected_ms: u64,
+            /// Age of the report at the send, in milliseconds.
+            age_ms: u64,
+        },
+        /// Something else.
+        #[display("{words}")]
+        Other {
+            /// The node's words.
+            words: String,
+        },
+    }
+}
+
+fn life(down: bool) -> &'static str {
+    if down {
+        "nodes found the upstream out of reach then, so it ended"
+    } else {
+        "the upstream itself lived on"
+    }
+}
+
+impl Cause {
+    /// Finds the cause of a request that `node` answered at `ms`, from the lines of all nodes.
+    #[must_use]
+    pub fn find(request: &Request, node: &str, ms: u64, lines: &[Line]) -> Self {
+        match request.status {
+            404 if request.sends.is_empty() => Self::NoRoute { table: request.table },
+            503 if request.table == 0 => Self::NoRoutes,
+            503 => not_run(request, node, ms, lines),
+            _ => answered(request, ms, lines),
+        }
+    }
+}
+
+fn not_run(request: &Request, node: &str, ms: u64, lines: &[Line]) -> Cause {
+    if !request.sends.is_empty() {
+        let upstreams: Vec<&str> = request.sends.iter().map(|send| send.to.as_str()).collect();
+        return Cause::Refused { upstreams: upstreams.join(", ") };
+    }
+    let Some(seen) = request.seen else { return Cause::Other { words: request.cause.clone() } };
+    if seen.withdrawn > 0 {
+        let domains = withdrawn(node, ms, lines);
+        return Cause::Withdrawn {
+            withdrawn: seen.withdrawn,
+            domains: domains.join(", "),
+            warm: seen.warm,
+            full: seen.full,
+        };
+    }
+    Cause::Full { warm: seen.warm, full: seen.full, failing: seen.failing }
+}
+
+/// Returns the domains that a node knew as withdrawn at a time.
+fn withdrawn(node: &str, at: u64, lines: &[Line]) -> Vec<String> {
+    let mut known: Vec<String> = Vec::new();
+    for line in lines.iter().filter(|line| line.node == node && line.ms <= at) {
+        if let Record::Withdrawal { domain, withdrawn } = &line.record {
+            known.retain(|one| one != domain);
+            if *withdrawn {
+                known.push(domain.clone());
+            }
+        }
+    }
+    known
+}
+
+fn answered(request: &Request, ms: u64, lines: &[Line]) -> Cause {
+    let Some(first) = request.sends.first() else {
+        return Cause::Other { words: request.cause.clone() };
+    };
+    let last = |end: &str| request.sends.iter().rfind(|send| send.end.as_deref() == Some(end));
+    if (200..300).contains(&request.status) {
+        return if is_slow(first) { slow(first) } else { Cause::Expected };
+    }
+    if let Some(send) = last("broken") {
+        let down = is_down(&send.to, ms, lines);
+        return Cause::Broken { upstream: send.to.clone(), down };
+    }
+    match last("failed") {
+        Some(send) => Cause::Failed { upstream: send.to.clone() },
+        None => {
+            let (ms, expected_ms) = (first.ms, first.cost_ms);
+            Cause::Silent { upstream: first.to.clone(), ms, expected_ms }
+        }
+    }
+}
+
+fn is_slow(send: &Send) -> bool {
+    send.ms > SLOW * send.cost_ms.max(1)
+}
+
+fn slow(send: &Send) -> Cause {
+    Cause::Slow {
+        upstream: send.to.clone(),
+        ms: send.ms,
+        expected_ms: send.cost_ms,
+        age_ms: send.report_age_ms,
+    }
+}
+
+/// Tells whether some node found an upstream out of reach around a time.
+fn is_down(upstream: &str, at: u64, lines: &[Line]) -> bool {
+    let around = at.saturating_sub(BEFORE_MS)..=at + AFTER_MS;
+    lines.iter().filter(|line| around.contains(&line.ms)).any(|line| {
+        matches!(&line.record, Record::Upstream { id, state, .. } if id == upstream && state == "down")
+    })
+}
--- /dev/null
+++ b/crates/trace/tests/walk.rs
@@ -0,0 +1,74 @@
+//! Walks from a request's identity to its cause, on logs of a day with faults.
+
+use expect_test::{Expect, expect};
+use trace::account::Fault;
+use trace::{Account, Cause};
+
+const WITHDRAWN: &str = include_str!("data/withdrawn.log");
+const RESET: &str = include_str!("data/reset.log");
+const SLOW: &str = include_str!("data/slow.log");
+
+fn account(id: &str, logs: &str) -> Account {
+    Account::read(id, logs.as_bytes()).expect("the request is there")
+}
+
+fn check(id: &str, logs: &str, expected: &Expect) {
+    let account = account(id, logs);
+    let causes: Vec<String> = account.causes.iter().map(ToString::to_string).collect();
+    expected.assert_eq(&causes.join("; "));
+}
+
+#[test]
+fn explain_refused_while_a_domain_is_withdrawn() {
+    check(
+        "f695dcba26e5f4fe",
+        WITHDRAWN,
+        &expect![
+            "not run: 5 upstreams are in withdrawn domains (brest), and of the 5 ready ones 5 had no free slot"
+        ],
+    );
+}
+
+#[test]
+fn explain_unknown_after_an_upstream_ended() {
+    check(
+        "4ff2f337a1e613ad",
+        RESET,
+        &expect![
+            "outcome unknown: the connection to i-7de4f6728f broke; nodes found the upstream out of reach then, so it ended"
+        ],
+    );
+}
+
+#[test]
+fn explain_late_behind_a_slow_upstream() {
+    check(
+        "522e59eb12f73dda",
+        SLOW,
+        &expect!["late behind i-b9784e3633: 629 ms, 185 expected from a report 81 ms old"],
+    );
+}
+
+/// Logs of several nodes come as they were collected.
+#[test]
+fn explain_takes_lines_in_any_order() {
+    let mut lines: Vec<&str> = WITHDRAWN.lines().collect();
+    lines.reverse();
+    let reversed = account("f695dcba26e5f4fe", &lines.join("\n"));
+    let times: Vec<u64> = reversed.lines.iter().map(|line| line.ms).collect();
+    assert!(times.is_sorted(), "{times:?}");
+    assert!(matches!(reversed.causes[..], [Cause::Withdrawn { .. }]));
+}
+
+/// Lines of other programs, and lines that were cut, may stand between.
+#[test]
+fn explain_passes_over_lines_that_are_no_log() {
+    let logs = format!("booting\n{{\"ms\":\n{{}}\n{RESET}\n{{\"ms\":1,\"event\":\"request\"}}");
+    assert_eq!(account("4ff2f337a1e613ad", &logs).causes.len(), 1);
+}
+
+#[test]
+fn explain_unknown_identity_is_told() {
+    let fault = Account::read("nobody", SLOW.as_bytes()).expect_err("no such request");
+    assert!(matches!(fault, Fault::Unknown { .. }));
+}
