Let a node that starts after a rollback serve with every other version

The first version that a node sees of a service gets traffic without an order; here that was the target of the rollout that was rolled back at that moment, so none was left, and others had to be there for 5 s first. Ruled out: silent upstreams (no question was asked), the store (table and rollouts were read). Change: when a node first knows upstreams and rollouts, every version that is there and that no trial has as its target gets traffic. Test rollout_rolled_back_leaves_a_node_that_has_just_started_the_others failed before.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -230,6 +230,8 @@
     departed: Vec<key::Upstream>,
     lapsed: BTreeSet<String>,
     lapse_until: Moment,
+    /// Whether upstreams and rollouts were both known once.
+    founded: bool,
     calls: SlotMap<key::Call, Call>,
     exchanges: SlotMap<key::Attempt, Exchange>,
     waits: BTreeSet<(Moment, key::Call)>,
@@ -278,6 +280,7 @@
             departed: Vec::new(),
             lapsed: BTreeSet::new(),
             lapse_until: Moment::default(),
+            founded: false,
             calls: SlotMap::with_key(),
             exchanges: SlotMap::with_key(),
             waits: BTreeSet::new(),
--- a/crates/gateway/src/engine/facts.rs
+++ b/crates/gateway/src/engine/facts.rs
@@ -78,18 +78,47 @@
             self.lapse_until = now + LAPSE;
         }
         let applied = view.apply(batch);
-        let Ok(delta) = &applied else {
-            out.push(Output::Note(Note::Gap { kind, at }));
-            return applied;
-        };
+        match &applied {
+            Ok(delta) => {
+                self.take_kind(now, kind, delta, batch.at, out);
+                self.establish_present();
+            }
+            Err(Gap) => out.push(Output::Note(Note::Gap { kind, at })),
+        }
+        applied
+    }
+
+    fn take_kind(
+        &mut self,
+        now: Moment,
+        kind: Kind,
+        delta: &Delta,
+        revision: u64,
+        out: &mut Vec<Output>,
+    ) {
         match kind {
             Kind::Table => self.take_table(now, out),
-            Kind::Upstreams => self.take_upstreams(now, delta, batch.at, out),
+            Kind::Upstreams => self.take_upstreams(now, delta, revision, out),
             Kind::Rollouts => self.take_rollouts(now, delta, out),
-            Kind::Withdrawals => self.take_withdrawals(now, delta, batch.at, out),
+            Kind::Withdrawals => self.take_withdrawals(now, delta, revision, out),
             Kind::Members => self.take_members(delta, out),
         }
-        applied
+    }
+
+    /// Lets every version that is there when this node first knows upstreams and rollouts get
+    /// traffic, but for those that a rollout names: which of them came first is not known.
+    fn establish_present(&mut self) {
+        let known = self.view_at(Kind::Upstreams) > 0 && self.view_at(Kind::Rollouts) > 0;
+        if self.founded || !known {
+            return;
+        }
+        self.founded = true;
+        for service in self.services.values_mut() {
+            let target = service.trial.as_ref().map(|trial| trial.target);
+            let present = service.upstreams.iter().map(|at| self.upstreams[*at].version);
+            service.established.extend(present);
+            service.established.retain(|version| Some(*version) != target);
+        }
     }
 
     fn take_table(&mut self, now: Moment, out: &mut Vec<Output>) {
--- a/crates/gateway/tests/trial.rs
+++ b/crates/gateway/tests/trial.rs
@@ -197,6 +197,22 @@
     }
 }
 
+/// A node that starts during a trial cannot know which version was ordered before.
+#[test]
+fn rollout_rolled_back_leaves_a_node_that_has_just_started_the_others() {
+    let target = Upstream { version: "v3".into(), ..upstream("a0", "east") };
+    let serving = Upstream { version: "v2".into(), ..upstream("b0", "east") };
+    let rollout =
+        |phase| Rollout { service: "stock".into(), target: "v3".into(), duration: DURATION, phase };
+    for phases in [&[Phase::Running, Phase::RolledBack][..], &[Phase::RolledBack]] {
+        let mut world = World::new(&[target.clone(), serving.clone()]);
+        for phase in phases {
+            world.rollout(rollout(*phase));
+        }
+        assert_eq!(world.place("/read/1").map(|place| place.1).as_deref(), Some("b0"));
+    }
+}
+
 #[test]
 fn rollout_completed_leaves_the_old_ones() {
     let old = upstream("a0", "east");
