--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod compare;
 pub mod load;
 pub mod local;
+pub mod rounds;
 pub mod serve;
 pub mod slopes;
 pub mod store;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -8,6 +8,7 @@
 use derive_more::{Display, Error, From};
 use rig::compare::{self, Name, Setting, Shape, Trace};
 use rig::local::{Local, Plan, SERVICE, TOKEN};
+use rig::rounds::{self, Report};
 use rig::upstream::Behaviour;
 use rig::{bench, load, slopes};
 
@@ -69,6 +70,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Prints a table of reports of days, as the platform's bench writes them.
+    Rounds {
+        /// Files of reports, one a day; the table names them by their stems.
+        #[arg(required = true)]
+        reports: Vec<std::path::PathBuf>,
+    },
     /// Compares ways to choose upstreams on one seeded trace in virtual time.
     Compare {
         /// Seed of the trace.
@@ -95,6 +102,7 @@
         Work::Latency { rate, time, rounds } => latency(rate, time, rounds).await,
         Work::Bench { out } => run_bench(out).await,
         Work::Slopes { seconds, json } => show_slopes(seconds, json),
+        Work::Rounds { reports } => show_rounds(&reports),
         Work::Compare { seed, calls, way } => {
             compare_ways(seed, calls, way);
             Ok(())
@@ -109,6 +117,16 @@
     }
 }
 
+fn show_rounds(paths: &[std::path::PathBuf]) -> Result<(), Fault> {
+    let mut reports = Vec::new();
+    for path in paths {
+        let stem = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        reports.push((stem, Report::read(path)?));
+    }
+    print!("{}", rounds::table(&reports));
+    Ok(())
+}
+
 fn compare_ways(seed: u64, calls: usize, only: Option<Name>) {
     let setting = Setting::default();
     let steady = [0.6, 0.85, 1.0, 1.3].map(Shape::Steady);
@@ -249,6 +267,8 @@
     #[display("{_0}")]
     Charts(policy::charts::Fault),
     #[display("{_0}")]
+    Report(rounds::Fault),
+    #[display("{_0}")]
     System(std::io::Error),
 }
 
