--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -231,7 +231,7 @@
     lapsed: BTreeSet<String>,
     lapse_until: Moment,
     /// Whether upstreams and rollouts were both known once.
-    founded: bool,
+    versions_known: bool,
     calls: SlotMap<key::Call, Call>,
     exchanges: SlotMap<key::Attempt, Exchange>,
     waits: BTreeSet<(Moment, key::Call)>,
@@ -280,7 +280,7 @@
             departed: Vec::new(),
             lapsed: BTreeSet::new(),
             lapse_until: Moment::default(),
-            founded: false,
+            versions_known: false,
             calls: SlotMap::with_key(),
             exchanges: SlotMap::with_key(),
             waits: BTreeSet::new(),
--- a/crates/gateway/src/engine/facts.rs
+++ b/crates/gateway/src/engine/facts.rs
@@ -109,10 +109,10 @@
     /// traffic, but for those that a rollout names: which of them came first is not known.
     fn establish_present(&mut self) {
         let known = self.view_at(Kind::Upstreams) > 0 && self.view_at(Kind::Rollouts) > 0;
-        if self.founded || !known {
+        if self.versions_known || !known {
             return;
         }
-        self.founded = true;
+        self.versions_known = true;
         for service in self.services.values_mut() {
             let target = service.trial.as_ref().map(|trial| trial.target);
             let present = service.upstreams.iter().map(|at| self.upstreams[*at].version);
