--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -35,13 +35,13 @@
     /// Creates a span of `value` milliseconds.
     #[must_use]
     pub const fn millis(value: u64) -> Self {
-        Self(value * 1_000)
+        Self(value.saturating_mul(1_000))
     }
 
     /// Creates a span of `value` seconds.
     #[must_use]
     pub const fn seconds(value: u64) -> Self {
-        Self(value * 1_000_000)
+        Self(value.saturating_mul(1_000_000))
     }
 
     /// Returns the duration in whole milliseconds.
--- a/crates/gateway/src/gauge.rs
+++ b/crates/gateway/src/gauge.rs
@@ -96,7 +96,7 @@
 impl Gauge {
     /// Updates load and slowdown from a report.
     pub fn apply_report(&mut self, now: Moment, report: Report) {
-        let total = report.running + report.waiting;
+        let total = report.running.saturating_add(report.waiting);
         self.others = f64::from(total.saturating_sub(self.in_flight));
         self.others_mean += AVERAGE_WEIGHT * (self.others - self.others_mean);
         self.slowdown = report.slowdown.max(MIN_SLOWDOWN);
