node: move messages and shared state out of the tasks' files

Cause: dispatch.rs imported peers.rs, probe.rs and writer.rs for their messages and was imported by them for the handle; call.rs and front.rs imported each other for the state that they share. Change: messages of all tasks and the handle are in message.rs, what the tasks of the front end share in shared.rs. No task's file is imported by a task that it starts.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -20,11 +20,11 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::clock;
-use crate::dispatch::{Closed, Directive, Message, Target};
 use crate::exchange::{self, Completion, Payload};
-use crate::front::Front;
 use crate::logs;
+use crate::message::{Closed, Directive, Message, Target};
 use crate::response::{self, Fault};
+use crate::shared::Front;
 
 /// Time-out for reading a body if the caller states no deadline.
 const DEFAULT_BODY_TIMEOUT: Span = Span::seconds(30);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -5,8 +5,6 @@
 //! actor's mailbox would not: the engine interprets the end of an exchange differently if it
 //! arrives before [`Message::Sent`].
 
-mod message;
-
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,15 +19,17 @@
 
 use xtra::Address;
 
-pub use message::{Closed, Directive, Handle, Message, State, Target};
-
 use crate::Dialect;
 use crate::clock;
 use crate::logs;
-use crate::peers::{Deliver, Discover, Peers, UpdateAddress};
+use crate::message::{
+    Deliver, Directive, Discover, FinishRollout, Handle, Message, Probe, State, Target,
+    UpdateAddress,
+};
+use crate::peers::Peers;
 use crate::pool::Pool;
-use crate::probe::{self, Probe};
-use crate::writer::{FinishRollout, Writer};
+use crate::probe;
+use crate::writer::Writer;
 
 /// Time between ticks of the engine.
 const TICK_INTERVAL: Span = Span::millis(200);
--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -14,9 +14,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::dispatch::{Closed, Message};
-use crate::front::Front;
+use crate::message::{Closed, Message};
 use crate::response::{self, Fault};
+use crate::shared::Front;
 
 /// Time-out for reading the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::Dialect;
-use crate::dispatch::{Handle, Message, Target};
+use crate::message::{Handle, Message, Target};
 use crate::pool::Connection;
 
 /// Largest response body that is accepted, in bytes.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -3,55 +3,24 @@
 //! [`crate::run`] starts and stops it.
 
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use model::table::Limits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::Dialect;
 use crate::call;
-use crate::dispatch::Handle;
-use crate::metrics::Metrics;
+use crate::shared::{Front, Phase};
 
 /// Minimum size of the head buffer, in bytes, that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACK_OFF: Duration = Duration::from_millis(50);
 
-/// Phase of a node's shutdown, as its connections see it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// The node serves requests.
-    #[default]
-    Serving,
-    /// Each response announces that its connection will be closed.
-    Leaving,
-    /// Idle connections are closed and no new ones are accepted.
-    Closing,
-}
-
-/// State shared by the connections of callers and of the other endpoints.
-#[derive(Clone, Debug)]
-pub struct Front {
-    /// Handle to the dispatcher, which decides where requests go.
-    pub dispatcher: Handle,
-    /// Names of headers and paths.
-    pub dialect: Arc<Dialect>,
-    /// Limits on callers, from the routing table.
-    pub limits: watch::Receiver<Limits>,
-    /// Records responses and latencies.
-    pub metrics: Metrics,
-    /// Phase of the node's shutdown.
-    pub phase: watch::Receiver<Phase>,
-}
-
 /// Accepts connections until [`Phase::Closing`], then waits until the last one has ended.
 pub async fn accept(front: Front, listener: TcpListener) {
     let mut connections = JoinSet::new();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod front;
 pub mod logs;
+pub mod message;
 pub mod metrics;
 pub mod peers;
 pub mod pool;
@@ -19,6 +20,7 @@
 pub mod response;
 pub mod run;
 pub mod settings;
+pub mod shared;
 pub mod writer;
 
 pub use dialect::Dialect;
--- a/crates/node/src/dispatch/message.rs
+++ b/crates/node/src/message.rs
@@ -1,15 +1,17 @@
-//! Messages to the dispatcher, its directives, and the handle that sends the messages.
+//! Messages between the tasks of a node, and the handle that sends messages to the dispatcher.
+//!
+//! The tasks import this module and not each other, except those that they start.
 
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use derive_more::{Display, Error};
-use gateway::engine::{Advice, Choice, Dump, Health, Rejection, Request};
+use gateway::engine::{Advice, Choice, Dump, Health, Rejection, Request, Verdict};
 use gateway::exchange::Event;
 use gateway::gauge::Report;
 use gateway::message::Frame;
 use gateway::view::Batch;
-use model::registry::Kind;
+use model::registry::{Kind, Member};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -165,6 +167,42 @@
     pub idle: usize,
 }
 
+/// Sends a frame to one node.
+#[derive(Debug)]
+pub struct Deliver {
+    /// Identity of the receiving node.
+    pub to: u64,
+    /// The frame to send.
+    pub frame: Frame,
+}
+
+/// Sends a frame to all seed addresses of the settings.
+#[derive(Debug)]
+pub struct Discover(pub Frame);
+
+/// Records the address of a member that is new, has moved or has restarted.
+#[derive(Debug)]
+pub struct UpdateAddress(pub Member);
+
+/// A health check to run.
+#[derive(Debug)]
+pub struct Probe {
+    /// Key of the upstream.
+    pub upstream: key::Upstream,
+    /// Identity of the upstream; another instance may have taken its address.
+    pub id: String,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// Path of the health check.
+    pub path: String,
+    /// An idle connection to the upstream, if the pool has one.
+    pub connection: Option<Connection>,
+}
+
+/// Writes the verdict of a trial to the store.
+#[derive(Debug)]
+pub struct FinishRollout(pub Verdict);
+
 /// A handle that sends messages to the dispatcher.
 #[derive(Clone, Debug)]
 pub struct Handle(mpsc::UnboundedSender<Message>);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,7 +8,7 @@
 use metrics::{Counter, Histogram, counter, gauge, histogram, with_local_recorder};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusRecorder};
 
-use crate::dispatch::State;
+use crate::message::State;
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0];
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,17 +1,16 @@
 //! The tasks that send frames to other nodes and receive frames from them.
 //!
-//! The dispatcher controls the sending task through the messages of this module.
+//! The dispatcher controls the sending task through messages.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use gateway::message::Frame;
-use model::registry::Member;
 use peer::{Envelope, Hello, Links, encode, mesh};
 use quinn::Endpoint;
 use xtra::prelude::*;
 
-use crate::dispatch::{Handle, Message};
+use crate::message::{Deliver, Discover, Handle, Message, UpdateAddress};
 
 /// The sending task: it owns the connections to other nodes and knows their addresses.
 #[derive(xtra::Actor)]
@@ -21,23 +20,6 @@
     links: Links,
 }
 
-/// Sends a frame to one node.
-#[derive(Debug)]
-pub struct Deliver {
-    /// Identity of the receiving node.
-    pub to: u64,
-    /// The frame to send.
-    pub frame: Frame,
-}
-
-/// Sends a frame to all seed addresses of the settings.
-#[derive(Debug)]
-pub struct Discover(pub Frame);
-
-/// Records the address of a member that is new, has moved or has restarted.
-#[derive(Debug)]
-pub struct UpdateAddress(pub Member);
-
 impl Peers {
     /// Creates the task's state; the node's own address is removed from the seeds.
     #[must_use]
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -14,27 +14,12 @@
 use tokio::time::timeout;
 
 use crate::Dialect;
-use crate::dispatch::{Handle, Message};
+use crate::message::{Handle, Message, Probe};
 use crate::pool::Connection;
 
 /// Time-out for the response on one connection.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
-/// A health check to run.
-#[derive(Debug)]
-pub struct Probe {
-    /// Key of the upstream.
-    pub upstream: key::Upstream,
-    /// Identity of the upstream; another instance may have taken its address.
-    pub id: String,
-    /// Address of the upstream.
-    pub address: SocketAddr,
-    /// Path of the health check.
-    pub path: String,
-    /// An idle connection to the upstream, if the pool has one.
-    pub connection: Option<Connection>,
-}
-
 /// Checks an upstream's health and reports the result to the dispatcher.
 pub async fn run(dispatcher: Handle, dialect: &Dialect, probe: Probe) {
     let Probe { upstream, id, address, path, connection } = probe;
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -15,8 +15,8 @@
 use tokio::sync::watch;
 
 use crate::clock;
-use crate::dispatch::{Handle, Message};
 use crate::logs;
+use crate::message::{Handle, Message};
 
 /// Longest wait of a watch of [`PROBING_KIND`], which has to confirm its facts this often.
 const CONFIRMATION_WAIT: Span = Span::millis(700);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -23,13 +23,15 @@
 
 use crate::clock;
 use crate::dialect::Dialect;
-use crate::dispatch::{self, Dispatcher, Handle, Message, Tasks};
+use crate::dispatch::{self, Dispatcher, Tasks};
 use crate::endpoint::{self, Endpoint};
-use crate::front::{self, Front, Phase};
+use crate::front;
+use crate::message::{Handle, Message};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::reader::Reader;
 use crate::settings::Settings;
+use crate::shared::{Front, Phase};
 use crate::writer::{self, Writer};
 
 /// Share of the stop time-out after which calls in progress are aborted, so that the process ends
--- a/crates/node/src/writer.rs
+++ b/crates/node/src/writer.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use gateway::engine::Verdict;
 use gateway::view::Batch;
 use log::Level;
 use model::registry::{Fact, Item, Kind, Member, Phase};
@@ -11,8 +10,8 @@
 use xtra::prelude::*;
 
 use crate::clock;
-use crate::dispatch::{Handle, Message};
 use crate::logs;
+use crate::message::{FinishRollout, Handle, Message};
 
 /// Back-off after the first registration that the store did not confirm.
 const INITIAL_BACK_OFF: Duration = Duration::from_millis(200);
@@ -26,10 +25,6 @@
     dispatcher: Handle,
 }
 
-/// Writes the verdict of a trial to the store.
-#[derive(Debug)]
-pub struct FinishRollout(pub Verdict);
-
 /// The log line for the write of a verdict.
 #[derive(Debug, Serialize)]
 struct Line<'a> {
--- a/crates/node/tests/reader.rs
+++ b/crates/node/tests/reader.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use model::registry::{Kind, Member, Phase};
-use node::dispatch::{Handle, Message};
+use node::message::{Handle, Message};
 use node::reader::Reader;
 use store::{Error, Listing, Registry};
 use tokio::sync::watch;
--- a/crates/node/tests/writer.rs
+++ b/crates/node/tests/writer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use model::registry::{Fact, Item, Kind, Member, Phase};
-use node::dispatch::{Handle, Message};
+use node::message::{Handle, Message};
 use node::writer;
 use store::{Error, Listing, Registry};
 use tokio::sync::Barrier;
