Honour what upstreams say of themselves, and bound what they send

Cause: nothing read the header by which an upstream says that it is leaving, nor the Retry-After of its 503. Bodies of health checks had no limit. Change: notices go to the engine as soon as a response's head has arrived. Leaving holds for the process that said so, whatever its entry does, is broadcast and told to nodes that start. A pause keeps requests and health checks away, up to 300 s; if all have asked for one, callers hear at once when the first ends. Bodies share a quarter of the machine's memory, each at most as much as is left for the others; a socket gives at most 128 KiB and 8 bytes for each byte of body.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -12,6 +12,7 @@
 mod facts;
 mod health;
 mod note;
+mod notice;
 mod outcome;
 mod peers;
 mod trials;
@@ -32,9 +33,11 @@
 pub use dump::{Census, Dump, Stats};
 pub use health::Health;
 pub use note::Note;
+pub use notice::Notice;
 pub use trials::Verdict;
 
 use crate::budget::Budget;
+use crate::departure::Departures;
 use crate::exchange::{self, Exchange};
 use crate::gauge::Report;
 use crate::member::Members;
@@ -90,6 +93,13 @@
         /// Result of the health check.
         health: Health,
     },
+    /// The head of an upstream's response has arrived and states something about the upstream.
+    Notice {
+        /// Key of the upstream that the request was sent to.
+        upstream: key::Upstream,
+        /// The statement.
+        notice: Notice,
+    },
     /// A frame from another node arrived.
     Peer {
         /// Identity of the sending node.
@@ -235,6 +245,7 @@
     deregistered: Vec<key::Upstream>,
     /// Upstreams whose entries vanished during a store outage and may come back.
     pending_removals: BTreeSet<String>,
+    departures: Departures,
     removal_grace_until: Moment,
     /// Whether upstreams and rollouts have both been read at least once.
     versions_known: bool,
@@ -288,6 +299,7 @@
             upstream_ids: BTreeMap::new(),
             deregistered: Vec::new(),
             pending_removals: BTreeSet::new(),
+            departures: Departures::default(),
             removal_grace_until: Moment::default(),
             versions_known: false,
             calls: SlotMap::with_key(),
@@ -326,6 +338,7 @@
             Input::DeadlinePassed(call) => self.on_deadline(now, call, out),
             Input::Cancelled(call) => self.on_cancelled(now, call, out),
             Input::Probed { upstream, health } => self.on_probe_result(now, upstream, &health, out),
+            Input::Notice { upstream, notice } => self.on_notice(now, upstream, notice, out),
             Input::Peer { from, frame } => self.on_frame(now, from, frame, out),
             Input::Written { trial, accepted } => self.on_verdict_written(trial, accepted),
             Input::Resumed => self.resume(now, out),
@@ -397,6 +410,7 @@
     fn tick(&mut self, now: Moment, out: &mut Vec<Output>) {
         self.expire_probe_waits(now, out);
         self.apply_pending_removals(now, out);
+        self.departures.expire(now);
         self.refresh_upstreams(now, out);
         self.establish_versions(now);
         self.drive_trials(now, out);
--- a/crates/gateway/src/engine/call.rs
+++ b/crates/gateway/src/engine/call.rs
@@ -114,6 +114,9 @@
     /// Every upstream of the service is full.
     #[display("every upstream is full")]
     Full,
+    /// Every upstream of the service has asked for a pause.
+    #[display("every upstream has asked for a pause")]
+    Paused,
     /// The deadline passed before the request was sent.
     #[display("the deadline passed before the request was sent")]
     LateUnsent,
@@ -275,6 +278,7 @@
         let retry_after = match refusal {
             _ if outcome == Outcome::Unknown => None,
             Refusal::Full => Some(RETRY_AFTER_FULL),
+            Refusal::Paused => self.paused_until(now, call.service).map(|until| until.since(now)),
             Refusal::Attempts => Some(RETRY_AFTER_REFUSED),
             Refusal::NoUpstream | Refusal::LateUnsent => Some(RETRY_AFTER_UNAVAILABLE),
             _ => None,
--- a/crates/gateway/src/engine/candidate.rs
+++ b/crates/gateway/src/engine/candidate.rs
@@ -75,8 +75,10 @@
         let upstream = &self.upstreams[upstream_key];
         let route = self.routes.arena.get(call.route)?;
         let selectable = matches!(upstream.state, State::Unproven | State::Warm | State::Cold);
-        let eligible =
-            selectable && !self.domains[upstream.domain].withdrawn && now >= upstream.full_until;
+        let eligible = selectable
+            && !self.domains[upstream.domain].withdrawn
+            && now >= upstream.full_until
+            && now >= upstream.paused_until;
         if !eligible
             || call.tried.contains(&upstream_key)
             || !self.may_use_version(now, call, upstream.version)
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -74,7 +74,7 @@
             candidates.iter().filter(|candidate| candidate.has_room && !candidate.unproven);
         match usable.min_by(|left, right| left.cost.total_cmp(&right.cost)) {
             Some(best) => self.send(now, key, *best, candidates.len(), out),
-            None => self.refuse_unless_in_flight(now, key, self.refusal_reason(key), out),
+            None => self.refuse_unless_in_flight(now, key, self.refusal_reason(now, key), out),
         }
     }
 
@@ -222,8 +222,11 @@
     }
 
     /// Returns why no upstream can take a call.
-    fn refusal_reason(&self, key: key::Call) -> Refusal {
+    fn refusal_reason(&self, now: Moment, key: key::Call) -> Refusal {
         let call = &self.calls[key];
+        if self.paused_until(now, call.service).is_some() {
+            return Refusal::Paused;
+        }
         let upstreams = self.services.get(call.service).map(|service| service.upstreams.as_slice());
         let is_serving = |key: &&key::Upstream| {
             let state = self.upstreams.get(**key).map(|upstream| upstream.state);
--- a/crates/gateway/src/engine/dump.rs
+++ b/crates/gateway/src/engine/dump.rs
@@ -35,6 +35,8 @@
         pub harmful: u64,
         /// Number of health checks of upstreams.
         pub probes: u64,
+        /// Number of pauses that upstreams have asked for.
+        pub pauses: u64,
     }
 
     /// State of a service's upstreams when a request for it was refused.
@@ -56,6 +58,8 @@
         pub failing: u32,
         /// Upstreams that are draining.
         pub draining: u32,
+        /// Upstreams that have asked for a pause, in any state.
+        pub paused: u32,
         /// Upstreams in withdrawn failure domains, in any state.
         pub withdrawn: u32,
     }
@@ -153,6 +157,7 @@
             if self.domains[upstream.domain].withdrawn {
                 census.withdrawn += 1;
             }
+            census.paused += u32::from(now < upstream.paused_until);
             let full = upstream.gauge.load(now) + 1.0 > f64::from(upstream.slots);
             match upstream.state {
                 upstream::State::Warm => {
--- a/crates/gateway/src/engine/facts.rs
+++ b/crates/gateway/src/engine/facts.rs
@@ -269,7 +269,7 @@
             None => self.register(now, entry, revision, out),
         };
         self.upstreams[key].slots = entry.slots;
-        if entry.state == registry::State::Draining {
+        if entry.state == registry::State::Draining || self.departures.contains(entry.ident()) {
             self.apply_upstream_event(now, key, Event::Draining, out);
         } else if entry.cold_remaining > Span::ZERO && known == Some(key) {
             self.upstreams[key].cold_until = now + entry.cold_remaining;
@@ -285,8 +285,12 @@
             && upstream.address == entry.address
             && service == Some(entry.service.as_str())
             && self.versions[upstream.version].name == entry.version
-            // An upstream that has announced its drain cannot revoke it.
-            && (upstream.state != State::Draining || entry.state == registry::State::Draining)
+            // A process that has announced its drain cannot revoke it. Entries without a start time
+            // do not tell processes apart, so a ready one may belong to a new process.
+            && (upstream.state != State::Draining
+                || entry.state == registry::State::Draining
+                || entry.started_ms > 0
+                || self.departures.contains(upstream.ident))
     }
 
     fn register(
@@ -314,6 +318,7 @@
             back_off: Upstream::initial_back_off(),
             back_off_until: now,
             full_until: now,
+            paused_until: now,
             unhealthy: false,
             probe_started_at: None,
             probe_tokens: INITIAL_PROBES,
--- a/crates/gateway/src/engine/health.rs
+++ b/crates/gateway/src/engine/health.rs
@@ -46,6 +46,9 @@
         };
         let rate = self.probe_rate(domain);
         let Some(upstream) = self.upstreams.get_mut(key) else { return false };
+        if now < upstream.paused_until {
+            return false;
+        }
         if upstream.probe_started_at.is_some_and(|at| now.since(at) < PROBE_TIMEOUT) {
             return true;
         }
--- a/crates/gateway/src/engine/note.rs
+++ b/crates/gateway/src/engine/note.rs
@@ -49,6 +49,11 @@
             /// Revision of the store.
             revision: u64,
         },
+        /// An upstream has announced that it is leaving, to this node or to another one.
+        Leaving {
+            /// Identity of the upstream.
+            id: String,
+        },
         /// An upstream's entry vanished during a store outage; its removal is delayed because it
         /// may come back.
         Lapsed {
--- a/crates/gateway/src/engine/outcome.rs
+++ b/crates/gateway/src/engine/outcome.rs
@@ -162,6 +162,7 @@
             let upstream = &self.upstreams[*key];
             upstream.state == upstream::State::Warm
                 && now >= upstream.full_until
+                && now >= upstream.paused_until
                 && !call.tried.contains(key)
                 && !self.domains[upstream.domain].withdrawn
         })
--- a/crates/gateway/src/engine/peers.rs
+++ b/crates/gateway/src/engine/peers.rs
@@ -62,6 +62,12 @@
                     self.forward(now, from, &frame, out);
                 }
             }
+            Frame::Departed(idents) => {
+                let new = self.receive_departures(now, &idents, out);
+                if !new.is_empty() {
+                    self.forward(now, from, &Frame::Departed(new), out);
+                }
+            }
         }
     }
 
@@ -73,6 +79,15 @@
         }
     }
 
+    /// Sends a node that has just started which upstreams are leaving, as the registry may not say
+    /// so.
+    fn send_departures(&self, to: u64, out: &mut Vec<Output>) {
+        let idents: Vec<u64> = self.departures.idents().collect();
+        if !idents.is_empty() {
+            out.push(Output::Send { to, frame: Frame::Departed(idents) });
+        }
+    }
+
     fn send_members(&self, to: u64, out: &mut Vec<Output>) {
         let peers = self.members.peers().map(|(_, peer)| peer.member.clone());
         let known = peers.chain([self.members.own.clone()]).collect();
@@ -106,6 +121,7 @@
         if became_live && local && !heartbeat.leaving {
             out.push(Output::Note(Note::Member { name: member.name, live: true }));
             self.send_join(now, from, out);
+            self.send_departures(from, out);
         }
         if local {
             for summary in heartbeat.domains.iter().filter(|_| heartbeat.leader) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod charts;
 pub mod cold;
 pub mod demand;
+pub mod departure;
 pub mod engine;
 pub mod exchange;
 pub mod gauge;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -60,6 +60,8 @@
             /// Upstream that crashed; absent if this clears the request.
             crashed_upstream: Option<u64>,
         },
+        /// Identities of upstreams that have announced that they are leaving.
+        Departed(Vec<u64>),
     }
 
     /// State that a node sends to others at regular intervals.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -94,6 +94,8 @@
         pub back_off_until: Moment,
         /// Time until which it gets no requests, because it refused one while it was full.
         pub full_until: Moment,
+        /// Time until which it gets neither requests nor health checks, because it asked for a pause.
+        pub paused_until: Moment,
         /// Whether its last health check reported a problem.
         pub unhealthy: bool,
         /// Start of the health check in progress, if there is one.
--- a/crates/gateway/tests/bounds.rs
+++ b/crates/gateway/tests/bounds.rs
@@ -1,9 +1,13 @@
 //! Tests of bounds that hold in sum over all nodes, whatever they know of each other.
 
+mod common;
+
 use base::prelude::*;
+use common::{Harness, cold_start, upstream};
 use gateway::Terms;
 use gateway::budget::Budget;
 use gateway::cold::{Sends, WINDOW, share};
+use gateway::engine::Input;
 
 /// Returns identities of nodes.
 fn nodes(count: u64) -> impl Iterator<Item = u64> + Clone {
@@ -100,3 +104,37 @@
     let terms = Terms::default();
     assert!(!Budget::default().try_spend(Moment(0), &terms, 16));
 }
+
+/// A process that was paused holds reports and shares that have run out meanwhile: it must not send
+/// on the strength of them.
+#[test]
+fn resume_sends_nothing_on_what_was_known_before() {
+    let mut harness = Harness::new(&[upstream("e1", "east")]);
+    harness.place("/read/1").expect("an upstream");
+    harness.now = harness.now + Span::seconds(3);
+    harness.send_input(Input::Resumed);
+    harness.request("/read/2");
+    assert!(harness.take_sends().is_empty(), "a report from before the pause was used");
+    harness.answer_probes_idle();
+    assert_eq!(harness.take_sends().len(), 1);
+}
+
+#[test]
+fn resume_sends_nothing_to_a_cold_upstream_for_a_window() {
+    let mut harness = Harness::new(&[upstream("e1", "east")]);
+    let place = |harness: &mut Harness| {
+        harness.outputs.clear();
+        harness.request("/read/1");
+        harness.answer_probes(|_| cold_start());
+        harness.take_sends().len()
+    };
+    assert_eq!(place(&mut harness), 1, "a cold upstream gets this node's share");
+    harness.now = harness.now + Span::seconds(3);
+    harness.send_input(Input::Resumed);
+    for _ in 0..10 {
+        assert_eq!(place(&mut harness), 0);
+        harness.run(Span::millis(100));
+    }
+    harness.run(Span::millis(200));
+    assert_eq!(place(&mut harness), 1);
+}
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -43,6 +43,8 @@
     cold: bool,
     #[serde(skip_serializing_if = "Option::is_none")]
     end: Option<Event>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fault: Option<String>,
     ms: u64,
 }
 
@@ -220,7 +222,7 @@
             Some(completion) = self.exchanges.join_next() => {
                 let Ok(completion) = completion else { return Err(Closed) };
                 self.record_completion(&completion);
-                let Completion { exchange, event, report, response } = completion;
+                let Completion { exchange, event, report, response, .. } = completion;
                 *last_response = response;
                 let completed =
                     |reply| Message::Completed { token, exchange, event, report, reply };
@@ -255,16 +257,21 @@
         let (dispatcher, dialect) =
             (self.front.dispatcher.clone(), Arc::clone(&self.front.dialect));
         let (payload, deadline) = (Arc::clone(&self.payload), self.deadline);
+        let memory = self.front.memory.clone();
         self.exchanges.spawn(async move {
-            exchange::run(dispatcher, &dialect, &payload, target, deadline).await
+            exchange::run(dispatcher, &dialect, &memory, &payload, target, deadline).await
         });
     }
 
     fn record_completion(&mut self, completion: &Completion) {
+        if matches!(completion.fault, Some(exchange::Fault::Oversized)) {
+            self.front.metrics.record_oversized();
+        }
         let attempt =
             self.attempts.iter_mut().find(|(exchange, _, _)| *exchange == completion.exchange);
         if let Some((_, sent_at, attempt)) = attempt {
             attempt.end = Some(completion.event);
+            attempt.fault = completion.fault.as_ref().map(ToString::to_string);
             attempt.ms = millis(sent_at.elapsed());
         }
     }
@@ -316,6 +323,7 @@
             trial: choice.trial,
             cold: choice.cold,
             end: None,
+            fault: None,
             ms: 0,
         }
     }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -184,6 +184,7 @@
                 self.apply(Input::Current { kind, revision, asked_at });
             }
             Message::Written { trial, accepted } => self.apply(Input::Written { trial, accepted }),
+            Message::Notice(upstream, notice) => self.apply(Input::Notice { upstream, notice }),
             Message::Peer { from, frame } => self.apply(Input::Peer { from, frame }),
             Message::Leave => self.apply(Input::Leave),
             query => self.reply_to_query(query),
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -5,21 +5,25 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use derive_more::{Display, Error};
 use gateway::exchange::Event;
 use gateway::gauge::Report;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderValue};
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::Dialect;
+use crate::memory::{self, Memory};
 use crate::message::{Handle, Message, Target};
-use crate::pool::Connection;
+use crate::meter::Allowance;
+use crate::pool::{self, Connection};
 
-/// Largest response body that is accepted, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
+/// Time after the deadline of a call at which its exchanges end by themselves.
+const ABORT_DELAY: Duration = Duration::from_secs(1);
 
 /// A caller's request with its complete body.
 #[derive(Debug)]
@@ -43,23 +47,54 @@
     pub report: Option<Report>,
     /// The upstream's response, if it is complete.
     pub response: Option<Response<Bytes>>,
+    /// Why the response is not complete or not usable, if that is known.
+    pub fault: Option<Fault>,
+}
+
+/// Reason why there is no complete response.
+#[derive(Debug, Display, Error, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// No connection could be opened.
+    #[display("no connection: {_0}")]
+    Connect(
+        #[error(source)]
+        #[serde(skip)]
+        pool::Fault,
+    ),
+    /// The connection closed or failed, or its bytes are not a response.
+    #[display("no response: {_0}")]
+    Http(
+        #[error(source)]
+        #[serde(skip)]
+        hyper::Error,
+    ),
+    /// The body is larger than the memory that it may hold.
+    #[display("the body exceeds its share of the memory")]
+    Oversized,
+    /// The body was not complete when the deadline had passed.
+    #[display("the body was not complete in time")]
+    TimedOut,
 }
 
 /// Sends a request to an upstream and reads its response.
 pub async fn run(
     dispatcher: Handle,
     dialect: &Dialect,
+    memory: &Memory,
     payload: &Payload,
     target: Target,
     deadline: Instant,
 ) -> Completion {
     let exchange = target.exchange;
-    let completion = |event| Completion { exchange, event, report: None, response: None };
+    let completion =
+        |event| Completion { exchange, event, report: None, response: None, fault: None };
+    let failure = |event, fault| Completion { fault: Some(fault), ..completion(event) };
     let mut connection = match target.connection {
         Some(connection) => connection,
         None => match Connection::open(target.address).await {
             Ok(connection) => connection,
-            Err(_) => return completion(Event::ConnectFailed),
+            Err(fault) => return failure(Event::ConnectFailed, Fault::Connect(fault)),
         },
     };
     let Some(request) = request(dialect, payload, &target.id, deadline) else {
@@ -68,20 +103,26 @@
     if connection.sender.ready().await.is_err() {
         return completion(Event::NeverSent);
     }
+    connection.allowance.reset();
     dispatcher.post(Message::Sent(exchange));
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
             let unsent = error.take_message().is_some();
-            return completion(if unsent { Event::NeverSent } else { Event::Broken });
+            let event = if unsent { Event::NeverSent } else { Event::Broken };
+            return failure(event, Fault::Http(error.into_error()));
         }
     };
     let report = dialect.report(response.headers());
+    for notice in dialect.notices(response.status(), response.headers()) {
+        dispatcher.post(Message::Notice(target.upstream, notice));
+    }
     let event = classify(dialect, payload, &response);
     connection.apply_keep_alive(response.headers());
     let (head, body) = response.into_parts();
-    let Some(body) = read_body(body, deadline).await else {
-        return Completion { report, ..completion(Event::Broken) };
+    let body = match read_body(body, memory.body(), &connection.allowance, deadline).await {
+        Ok(body) => body,
+        Err(fault) => return Completion { report, ..failure(Event::Broken, fault) },
     };
     if event != Event::Broken {
         dispatcher.post(Message::Release(target.upstream, connection));
@@ -90,12 +131,39 @@
     Completion { report, response, ..completion(event) }
 }
 
-async fn read_body(body: Incoming, deadline: Instant) -> Option<Bytes> {
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// Returns the fault if the body breaks off, is too large or comes too slowly. The connection then
+/// closes, as the rest of the body is not read.
+async fn read_body(
+    incoming: Incoming,
+    body: memory::Body,
+    allowance: &Allowance,
+    deadline: Instant,
+) -> Result<Bytes, Fault> {
+    if incoming.size_hint().lower() > memory::MAX_BODY_BYTES as u64 {
+        return Err(Fault::Oversized);
+    }
     // A call that ends at its deadline aborts its exchanges; this time-out applies if that is
     // delayed.
-    let body = tokio::time::timeout_at(deadline + Duration::from_secs(1), body).await;
-    Some(body.ok()?.ok()?.to_bytes())
+    let read = tokio::time::timeout_at(deadline + ABORT_DELAY, collect(incoming, body, allowance));
+    read.await.map_err(|_| Fault::TimedOut)?
+}
+
+async fn collect(
+    mut incoming: Incoming,
+    mut body: memory::Body,
+    allowance: &Allowance,
+) -> Result<Bytes, Fault> {
+    while let Some(frame) = incoming.frame().await {
+        if let Ok(data) = frame.map_err(Fault::Http)?.into_data() {
+            body.append(&data).map_err(|memory::Exceeded| Fault::Oversized)?;
+            allowance.grant(data.len());
+        }
+    }
+    Ok(body.complete())
 }
 
 /// Determines the event of an exchange from the head of its response.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use derive_more::{Display, Error};
-use gateway::engine::{Advice, Choice, Dump, Health, Rejection, Request, Verdict};
+use gateway::engine::{Advice, Choice, Dump, Health, Notice, Rejection, Request, Verdict};
 use gateway::exchange::Event;
 use gateway::gauge::Report;
 use gateway::message::Frame;
@@ -71,6 +71,8 @@
         /// Result of the probe.
         health: Health,
     },
+    /// The head of an upstream's response states something about the upstream.
+    Notice(key::Upstream, Notice),
     /// A reader has read facts from the store.
     Facts {
         /// Kind of the facts.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -19,6 +19,7 @@
     recorder: Arc<PrometheusRecorder>,
     latency: Histogram,
     responses: [Counter; 5],
+    oversized: Counter,
 }
 
 impl std::fmt::Debug for Metrics {
@@ -36,13 +37,14 @@
     pub fn new(name: &str) -> Result<Self, BuildError> {
         let builder = PrometheusBuilder::new().add_global_label("node", name);
         let recorder = Arc::new(builder.set_buckets(&BUCKETS)?.build_recorder());
-        let (latency, responses) = with_local_recorder(&*recorder, || {
+        let (latency, responses, oversized) = with_local_recorder(&*recorder, || {
             let classes = ["1xx", "2xx", "3xx", "4xx", "5xx"];
             let responses =
                 classes.map(|class| counter!("nutmegwharf_answers_total", "class" => class));
-            (histogram!("nutmegwharf_request_seconds"), responses)
+            let oversized = counter!("nutmegwharf_oversized_responses_total");
+            (histogram!("nutmegwharf_request_seconds"), responses, oversized)
         });
-        Ok(Self { recorder, latency, responses })
+        Ok(Self { recorder, latency, responses, oversized })
     }
 
     /// Records a response to a caller and the time that the request took.
@@ -52,6 +54,11 @@
         self.responses[class].increment(1);
     }
 
+    /// Records a response of an upstream that was cut because it was too large.
+    pub fn record_oversized(&self) {
+        self.oversized.increment(1);
+    }
+
     /// Returns the metrics as text, with the counters and gauges taken from `state`.
     #[must_use]
     pub fn render(&self, state: &State) -> String {
@@ -76,6 +83,7 @@
         left,
         harmful,
         probes,
+        pauses,
     } = state.engine.stats;
     counter!("nutmegwharf_requests_total").absolute(requests);
     counter!("nutmegwharf_sends_total").absolute(sends);
@@ -89,6 +97,7 @@
     counter!("nutmegwharf_left_total").absolute(left);
     counter!("nutmegwharf_harmful_total").absolute(harmful);
     counter!("nutmegwharf_probes_total").absolute(probes);
+    counter!("nutmegwharf_pauses_total").absolute(pauses);
     gauge!("nutmegwharf_table_version").set(state.engine.table as f64);
     gauge!("nutmegwharf_open_calls").set(state.engine.calls as f64);
     gauge!("nutmegwharf_idle_connections").set(state.idle as f64);
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::meter::{Allowance, Metered};
+
 /// Time-out for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time-out of a connection whose upstream states none.
@@ -28,6 +30,9 @@
 /// Maximum number of idle connections kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 6;
 
+/// Size of the read buffer, in bytes, which also limits the head of a response.
+const MAX_BUFFER_BYTES: usize = 65_536;
+
 /// Reason why a connection cannot be opened.
 #[derive(Debug, Display, Error, From)]
 pub enum Fault {
@@ -50,6 +55,8 @@
 pub struct Connection {
     /// Sends requests to the task that owns the socket.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Bytes that may be read from the socket for the present response.
+    pub allowance: Allowance,
     /// Time for which the connection may be idle.
     pub idle_timeout: Span,
 }
@@ -64,10 +71,13 @@
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connected.map_err(|_| Fault::TimedOut)??;
         stream.set_nodelay(true)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+        let (stream, allowance) = Metered::new(stream);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
         // The task owns the socket and ends when the sender is dropped.
         tokio::spawn(driver);
-        Ok(Self { sender, idle_timeout: DEFAULT_IDLE_TIMEOUT })
+        Ok(Self { sender, allowance, idle_timeout: DEFAULT_IDLE_TIMEOUT })
     }
 
     /// Updates the idle time-out from the `Keep-Alive` header of a response.
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -7,10 +7,10 @@
 
 use base::prelude::*;
 use gateway::engine::Health;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::header::HOST;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
 
 use crate::Dialect;
@@ -20,6 +20,9 @@
 /// Time-out for the response on one connection.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Largest body of a response that is accepted, in bytes; its content is ignored.
+const MAX_BODY_BYTES: usize = 65_536;
+
 /// Checks an upstream's health and reports the result to the dispatcher.
 pub async fn run(dispatcher: Handle, dialect: &Dialect, probe: Probe) {
     let Probe { upstream, id, address, path, connection } = probe;
@@ -51,6 +54,14 @@
     (response, connection): (Response<()>, Connection),
 ) -> Health {
     let health = health_of(dialect, id, &response);
+    // What another upstream at the address states is about that one.
+    let status = match health {
+        Health::Misdirected => StatusCode::MISDIRECTED_REQUEST,
+        _ => response.status(),
+    };
+    for notice in dialect.notices(status, response.headers()) {
+        dispatcher.post(Message::Notice(upstream, notice));
+    }
     if health != Health::Misdirected {
         dispatcher.post(Message::Release(upstream, connection));
     }
@@ -65,11 +76,12 @@
 ) -> Option<(Response<()>, Connection)> {
     let request = Request::get(path).header(HOST, address.to_string());
     let request = request.body(Full::<Bytes>::default()).ok()?;
+    connection.allowance.reset();
     let exchange = async {
         connection.sender.ready().await.ok()?;
         let response = connection.sender.send_request(request).await.ok()?;
         let (head, body) = response.into_parts();
-        body.collect().await.ok()?;
+        Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
         // A late response to a caller's request must not be taken for the health check's.
         let is_health_response = !head.headers.contains_key(&dialect.attempt_id);
         is_health_response.then(|| Response::from_parts(head, ()))
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::{self, Dispatcher, Tasks};
 use crate::endpoint::{self, Endpoint};
 use crate::front;
+use crate::memory::Memory;
 use crate::message::{Handle, Message};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
@@ -138,6 +139,7 @@
         dispatcher: handle.clone(),
         dialect,
         limits: limits_receiver,
+        memory: Memory::new(settings.memory_bytes),
         metrics,
         phase: phase_receiver,
     };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,8 @@
 use gateway::Terms;
 use log::LevelFilter;
 
+use crate::memory::Memory;
+
 /// The settings of one node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -25,6 +27,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time from the signal to stop until the process has to have ended.
     pub stop_timeout: Duration,
+    /// Memory of the machine, in bytes.
+    pub memory_bytes: u64,
     /// Limits and times of the engine.
     pub terms: Terms,
     /// Maximum rate of log lines, per second.
@@ -79,6 +83,7 @@
                 .map(|seed| SocketAddr::new(seed.ip(), listen.peers.port()))
                 .collect(),
             stop_timeout: reader.duration("stop_time", Duration::from_secs(6)),
+            memory_bytes: memory_bytes(&mut reader),
             terms: terms(&mut reader),
             log_rate: reader.count("log_rate", 100, 1, 100_000),
             log_level: reader.level("log", LevelFilter::Info),
@@ -87,6 +92,17 @@
     }
 }
 
+/// Largest accepted memory of a machine, in MiB.
+const MAX_MEMORY_MIB: u64 = 1_048_576;
+
+/// Reads the memory of the machine, which the operating system tells if the settings do not.
+fn memory_bytes(reader: &mut Reader) -> u64 {
+    match reader.count("memory_mib", 0, 0, MAX_MEMORY_MIB) {
+        0 => Memory::of_machine(),
+        mib => mib * 1_048_576,
+    }
+}
+
 /// Largest accepted number of failure domains that may be lost at the same time.
 const MAX_DOMAINS_LOST: u64 = 1_000;
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::Dialect;
+use crate::memory::Memory;
 use crate::message::Handle;
 use crate::metrics::Metrics;
 
@@ -32,6 +33,8 @@
     pub dialect: Arc<Dialect>,
     /// Limits on callers, from the routing table.
     pub limits: watch::Receiver<Limits>,
+    /// Memory for the bodies of responses.
+    pub memory: Memory,
     /// Records responses and latencies.
     pub metrics: Metrics,
     /// Phase of the node's shutdown.
