--- a/crates/gateway/src/charts.rs
+++ b/crates/gateway/src/charts.rs
@@ -3,7 +3,7 @@
 use chart::Chart;
 use policy::charts::Fault;
 
-use crate::{exchange, trial, upstream};
+use crate::{exchange, peer, trial, upstream};
 
 /// Source of the chart of a registered upstream.
 pub const REGISTERED: &str = include_str!("../../../charts/registered.jsonc");
@@ -12,6 +12,9 @@
 /// Source of the chart of a trial.
 pub const TRIAL: &str = include_str!("../../../charts/trial.jsonc");
 
+/// Source of the chart of another node.
+pub const PEER: &str = include_str!("../../../charts/peer.jsonc");
+
 /// All compiled charts of this crate.
 #[derive(Clone, Debug)]
 pub struct Charts {
@@ -19,6 +22,8 @@
     pub upstream: Chart<upstream::State, upstream::Event, upstream::Action>,
     /// One exchange with an upstream.
     pub exchange: Chart<exchange::State, exchange::Event, exchange::Action>,
+    /// Liveness of another node.
+    pub peer: Chart<peer::State, peer::Event, peer::Action>,
     /// Trial of a service's target version.
     pub trial: Chart<trial::State, trial::Event, trial::Action>,
 }
@@ -34,6 +39,7 @@
         Ok(Self {
             upstream: Chart::load(REGISTERED).map_err(fault("registered"))?,
             exchange: Chart::load(EXCHANGE).map_err(fault("exchange"))?,
+            peer: Chart::load(PEER).map_err(fault("peer"))?,
             trial: Chart::load(TRIAL).map_err(fault("trial"))?,
         })
     }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -5,12 +5,14 @@
 //! the parts of [`Engine`].
 
 mod advise;
+mod bootstrap;
 mod call;
 mod candidate;
 mod choose;
 mod dump;
 mod facts;
 mod health;
+mod membership;
 mod note;
 mod notice;
 mod outcome;
@@ -18,6 +20,7 @@
 mod trials;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -179,10 +182,22 @@
         /// The frame.
         frame: Frame,
     },
-    /// Sends a frame to the peer addresses from the settings, to find a first member.
-    Discover(Frame),
+    /// Sends a frame to one of the peer addresses from the settings, to find a first member.
+    Discover {
+        /// The address.
+        to: SocketAddr,
+        /// The frame.
+        frame: Frame,
+    },
     /// Records the address of a member that is new, has moved or has restarted.
     Address(Member),
+    /// Reads the members that are registered in the store.
+    FindMembers,
+    /// Registers this node in the store.
+    Register {
+        /// Whether it knows no other node and has to find those that register at the same time.
+        alone: bool,
+    },
     /// Starts (true) or stops (false) watching the store.
     Watch(bool),
     /// Writes the verdict of a trial to the store.
@@ -257,13 +272,23 @@
     suspects: Suspects,
     /// Digests of the requests that were in flight when a connection to an upstream broke.
     interrupted_requests: SecondaryMap<key::Upstream, Vec<u64>>,
+    search: bootstrap::Search,
+    /// Whether the entries of members are complete, as far as this node can know.
+    settled: bool,
+    divergences: BTreeMap<(u64, String), membership::Divergence>,
+    /// Changes of what is known of nodes that have to be passed on.
+    gossip: Vec<membership::Update>,
+    fetches: BTreeMap<Kind, peers::Fetch>,
+    served: peers::Served,
+    last_tick: Moment,
+    gossip_sent_at: Moment,
+    announced_leadership: bool,
     watching: bool,
     watch_until: Moment,
     next_local_heartbeat: Moment,
     next_remote_heartbeat: Moment,
     /// Confirmation time in the last heartbeat to this node's failure domain.
     reported_confirmation: Option<Moment>,
-    discovery_sent_at: Option<Moment>,
     leaving: bool,
     /// Evidence from this node, by trial identity.
     evidence: BTreeMap<u64, trials::Evidence>,
@@ -308,12 +333,20 @@
             members: Members::new(own),
             suspects: Suspects::default(),
             interrupted_requests: SecondaryMap::new(),
+            search: bootstrap::Search::default(),
+            settled: false,
+            divergences: BTreeMap::new(),
+            gossip: Vec::new(),
+            fetches: BTreeMap::new(),
+            served: peers::Served::default(),
+            last_tick: now,
+            gossip_sent_at: now,
+            announced_leadership: false,
             watching: false,
             watch_until: now,
             next_local_heartbeat: now,
             next_remote_heartbeat: now,
             reported_confirmation: None,
-            discovery_sent_at: None,
             leaving: false,
             evidence: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(process),
@@ -390,6 +423,12 @@
         self.table_version > 0 && self.view_revision(Kind::Upstreams) > 0 && !self.leaving
     }
 
+    /// Returns the other nodes as this node sees them.
+    #[must_use]
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
     /// Returns whether the node is shutting down.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -414,7 +453,20 @@
         self.refresh_upstreams(now, out);
         self.establish_versions(now);
         self.drive_trials(now, out);
-        self.send_due_heartbeats(now, out);
+        self.tick_membership(now, out);
+        if !self.leaving {
+            self.send_due_heartbeats(now, out);
+        }
+        self.tick_search(now, out);
+        self.update_watch(now, out);
+    }
+
+    /// Starts the shutdown and announces it to the other nodes.
+    fn leave(&mut self, now: Moment, out: &mut Vec<Output>) {
+        self.leaving = true;
+        self.update_standing(now);
+        self.flush_gossip(now, out);
+        self.send_heartbeats(now, out);
         self.update_watch(now, out);
     }
 
@@ -428,6 +480,9 @@
             view.confirmed_at = None;
         }
         self.started_at = now;
+        // What others have sent meanwhile has not been read yet.
+        self.members.excuse(now, Span(u64::MAX));
+        self.last_tick = now;
         self.update_watch(now, out);
         out.push(Output::Note(Note::Resumed));
     }
--- a/crates/gateway/src/engine/advise.rs
+++ b/crates/gateway/src/engine/advise.rs
@@ -30,10 +30,8 @@
     #[must_use]
     pub fn advise(&self, now: Moment, domain: Option<&str>) -> Advice {
         let own = &self.members.own;
-        let local = self.members.local_peers(now).filter(|(_, peer)| peer.ready);
-        let remote = self.members.live_remote_nodes(now).filter(|live| live.ready);
-        let remote = remote.filter_map(|live| self.members.get(live.ident));
-        let members = local.map(|(_, peer)| peer).chain(remote).map(|peer| &peer.member);
+        let peers = self.members.local_peers().chain(self.members.remote_peers(now));
+        let members = peers.filter(|(_, peer)| peer.is_ready()).map(|(_, peer)| &peer.member);
         let mut nodes: Vec<(&str, SocketAddr)> =
             members.map(|member| (member.domain.as_str(), member.caller)).collect();
         if !self.leaving && (self.is_ready() || nodes.is_empty()) {
--- a/crates/gateway/src/engine/call.rs
+++ b/crates/gateway/src/engine/call.rs
@@ -163,7 +163,7 @@
             return Err(Refusal::Harmful);
         }
         let service = self.routes.choose_service(key).ok_or(Refusal::NoUpstream)?;
-        let nodes = self.members.count();
+        let nodes = self.sharing_nodes();
         self.services[service].budget.earn(now, &self.terms, nodes);
         let assignment = self.assign_version(now, service);
         let route = &self.routes.arena[key];
--- a/crates/gateway/src/engine/candidate.rs
+++ b/crates/gateway/src/engine/candidate.rs
@@ -173,10 +173,13 @@
     /// Returns whether this node's share of a cold upstream's rate permits one more request now.
     ///
     /// A node that has just started waits for a whole window, because its former process may have
-    /// used the share.
+    /// used the share, and until it knows the other nodes with which it shares the rate.
     fn may_send_cold(&self, now: Moment, key: key::Upstream) -> bool {
         let upstream = &self.upstreams[key];
-        if upstream.domain != self.own_domain || now.since(self.started_at) < cold::WINDOW {
+        if upstream.domain != self.own_domain
+            || now.since(self.started_at) < cold::WINDOW
+            || !self.settled
+        {
             return false;
         }
         let rate = self.services[upstream.service].cold_rate;
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -130,7 +130,7 @@
 
     /// Takes one retry from the budget of a call's service, and returns whether there was one.
     pub(super) fn try_spend_retry(&mut self, now: Moment, key: key::Call) -> bool {
-        let nodes = self.members.count();
+        let nodes = self.sharing_nodes();
         let Some(service) = self.calls.get(key).map(|call| call.service) else { return false };
         let Some(service) = self.services.get_mut(service) else { return false };
         let spent = service.budget.try_spend(now, &self.terms, nodes);
--- a/crates/gateway/src/engine/dump.rs
+++ b/crates/gateway/src/engine/dump.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 
 use super::Engine;
-use crate::upstream;
+use crate::{peer, upstream};
 
 record! {
     /// Counters since the start of the process.
@@ -84,6 +84,24 @@
         pub failures: f64,
     }
 
+    /// Another node in a [`Dump`].
+    pub struct Node {
+        /// Name of its failure domain.
+        pub domain: String,
+        /// Whether it counts as live: not down, not leaving, and in a domain that is reachable.
+        pub live: bool,
+        /// Whether it is alive.
+        pub state: peer::State,
+        /// What it said of its service.
+        pub standing: peer::Standing,
+        /// Its incarnation.
+        pub incarnation: u64,
+        /// Whether this node exchanges heartbeats with it.
+        pub neighbour: bool,
+        /// Time since this node itself heard it, or began to expect that, in milliseconds.
+        pub heard_ms: Option<u64>,
+    }
+
     /// State of a node, written as JSON for operators.
     pub struct Dump {
         /// Name of the node.
@@ -96,8 +114,12 @@
         pub watching: bool,
         /// Number of calls in progress.
         pub calls: usize,
-        /// The other nodes by name, and whether each is live.
-        pub members: BTreeMap<String, bool>,
+        /// Whether this node knows the other nodes completely, as far as it can tell.
+        pub settled: bool,
+        /// Name of the leader of this node's failure domain.
+        pub leader: String,
+        /// The other nodes by name.
+        pub members: BTreeMap<String, Node>,
         /// Upstreams by identity.
         pub upstreams: BTreeMap<String, Row>,
         /// Target version and state of the trials, by service name.
@@ -116,10 +138,17 @@
     /// Returns the node's state for operators.
     #[must_use]
     pub fn dump(&self, now: Moment) -> Dump {
-        let remote: Vec<u64> = self.members.live_remote_nodes(now).map(|live| live.ident).collect();
         let members = self.members.peers().map(|(ident, peer)| {
-            let live = peer.is_live(now) || remote.contains(&ident);
-            (peer.member.name.clone(), live)
+            let node = Node {
+                domain: peer.member.domain.clone(),
+                live: self.members.is_live(now, ident),
+                state: peer.state,
+                standing: peer.standing,
+                incarnation: peer.incarnation,
+                neighbour: self.members.neighbours().contains(&ident),
+                heard_ms: peer.heard_at.map(|at| now.since(at).as_millis()),
+            };
+            (peer.member.name.clone(), node)
         });
         let upstreams =
             self.upstreams.values().map(|upstream| (upstream.id.clone(), self.row(now, upstream)));
@@ -139,6 +168,8 @@
             ready: self.is_ready(),
             watching: self.watching,
             calls: self.calls.len(),
+            settled: self.settled,
+            leader: self.leader_name(),
             members: members.collect(),
             upstreams: upstreams.collect(),
             trials: trials.collect(),
@@ -148,6 +179,11 @@
         }
     }
 
+    fn leader_name(&self) -> String {
+        let leader = self.members.get(self.members.leader()).map(|peer| &peer.member);
+        leader.unwrap_or(&self.members.own).name.clone()
+    }
+
     /// Counts the upstreams of a service by their state.
     pub(super) fn census(&self, now: Moment, service: Option<key::Service>) -> Census {
         let mut census = Census { table: self.table_version, ..Census::default() };
--- a/crates/gateway/src/engine/facts.rs
+++ b/crates/gateway/src/engine/facts.rs
@@ -6,7 +6,7 @@
 use std::collections::btree_map;
 
 use base::prelude::*;
-use model::registry::{self, Fact, Kind, Phase};
+use model::registry::{self, Fact, Kind, Member, Phase};
 use model::table::Table;
 
 use super::{Domain, Engine, Note, Output, Service, Version};
@@ -35,6 +35,9 @@
         asked_at: Moment,
         out: &mut Vec<Output>,
     ) {
+        if kind == Kind::Members {
+            return self.contact_listed(now, listed_members(batch), out);
+        }
         let initial = self.view_revision(kind) == 0;
         let changed = self.views.get(&kind).map_or(0, |view| view.changed_revision);
         if let Ok(delta) = self.apply_facts(now, kind, batch, out)
@@ -48,6 +51,9 @@
             self.broadcast(now, &frame, out);
         }
         self.views.entry(kind).or_default().confirm(asked_at);
+        if kind == Kind::Upstreams {
+            self.report_confirmation(now, None, out);
+        }
     }
 
     /// Records that the store has nothing newer of a kind.
@@ -67,8 +73,8 @@
         }
         view.advance(revision);
         view.confirm(asked_at);
-        if kind == Kind::Upstreams && self.members.is_reader(now) {
-            self.send_heartbeats(now, out);
+        if kind == Kind::Upstreams {
+            self.report_confirmation(now, None, out);
         }
     }
 
@@ -113,7 +119,8 @@
             Kind::Upstreams => self.apply_upstreams(now, delta, revision, out),
             Kind::Rollouts => self.apply_rollouts(now, delta, out),
             Kind::Withdrawals => self.apply_withdrawals(now, delta, revision, out),
-            Kind::Members => self.apply_members(delta, out),
+            // The store lists members only for nodes that know no other.
+            Kind::Members => {}
         }
     }
 
@@ -415,15 +422,6 @@
         }
     }
 
-    fn apply_members(&mut self, delta: &Delta, out: &mut Vec<Output>) {
-        for name in &delta.changed {
-            let view = self.views.get(&Kind::Members);
-            let Some(Fact::Member(member)) = view.and_then(|view| view.get(name)) else { continue };
-            let member = member.clone();
-            self.learn_member(&member, out);
-        }
-    }
-
     /// Applies an event to an upstream's state, and logs the change unless it is routine.
     pub(super) fn apply_upstream_event(
         &mut self,
@@ -504,3 +502,12 @@
         }
     }
 }
+
+/// Returns the members that a batch lists.
+fn listed_members(batch: &Batch) -> Vec<Member> {
+    let members = batch.items.iter().filter_map(|item| match &item.fact {
+        Some(Fact::Member(member)) => Some(member.clone()),
+        _ => None,
+    });
+    members.collect()
+}
--- a/crates/gateway/src/engine/trials.rs
+++ b/crates/gateway/src/engine/trials.rs
@@ -242,7 +242,7 @@
         for key in keys {
             let Some(trial) = &self.services[key].trial else { continue };
             let ident = trial.ident;
-            let leader = self.members.leader_of(now, self.members.driver_domain(now, ident));
+            let leader = self.members.leader_of(self.members.driver_domain(now, ident));
             let driver = leader.unwrap_or(self.members.own_ident());
             self.send_evidence(now, ident, driver, out);
             let needs_evidence =
@@ -260,7 +260,7 @@
     fn is_takeover_due(&self, now: Moment, key: key::Service) -> bool {
         let Some(trial) = &self.services[key].trial else { return false };
         let rank = self.members.driver_rank(now, trial.ident) as u64;
-        self.members.is_leader(now) && now.since(trial.state_since).0 >= TAKEOVER_DELAY.0 * rank
+        self.members.is_leader() && now.since(trial.state_since).0 >= TAKEOVER_DELAY.0 * rank
     }
 
     fn drive_trial(&mut self, now: Moment, key: key::Service, out: &mut Vec<Output>) {
@@ -367,10 +367,10 @@
         out: &mut Vec<Output>,
     ) {
         let driver = self.members.driver_domain(now, trial);
-        let next = if self.members.is_leader(now) {
-            self.members.leader_of(now, driver)
+        let next = if self.members.is_leader() {
+            self.members.leader_of(driver)
         } else {
-            Some(self.members.leader(now))
+            Some(self.members.leader())
         };
         match next {
             Some(to) if to != self.members.own_ident() => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod gauge;
 pub mod member;
 pub mod message;
+pub mod overlay;
+pub mod peer;
 pub mod route;
 pub mod terms;
 pub mod trial;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -1,90 +1,106 @@
 //! The nodes that serve callers, as one node sees them.
 //!
-//! Within a failure domain, every node exchanges heartbeats with every other one. Between domains
-//! only the leaders do, as traffic between domains is expensive; each leader passes on to its own
-//! domain what it receives. The engine updates the members from heartbeats and derives from
-//! them whom to send to, who watches the store and who drives a trial.
+//! Every node keeps an entry for each other node. Within a failure domain, a node exchanges
+//! heartbeats with its neighbours in the [`overlay`](crate::overlay) only; changes of entries are
+//! passed on from neighbour to neighbour, and from leader to leader between domains, as traffic
+//! between domains is expensive. Digests in the heartbeats show when two nodes differ nevertheless.
+//! The engine derives from the entries whom to send to, who watches the store and who drives a
+//! trial.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use base::derive::Symbol;
 use base::hash::{digest, mix};
 use base::prelude::*;
+use chart::Chart;
 use model::registry::Member;
 
-/// Time without a heartbeat after which a node of the own domain counts as down.
+use crate::overlay;
+use crate::peer::{Action, Entry, Event, Peer, Report, Standing, State, Suspicion};
+
+/// Time without a heartbeat after which a neighbour is suspected.
 pub const LOCAL_TIMEOUT: Span = Span::millis(2_200);
+/// Time after which a new neighbour, which is asked for a heartbeat at once, is suspected.
+const NEW_NEIGHBOUR_TIMEOUT: Span = Span::millis(1_000);
 /// Time without a heartbeat after which another domain counts as unreachable.
 pub const REMOTE_TIMEOUT: Span = Span::millis(3_000);
-/// Number of domains whose leaders watch the store for all nodes.
-const READER_DOMAINS: usize = 2;
-/// Time between two announcements to a silent node.
+/// Time in which a suspected node may object, if only one node has not heard it.
+const OBJECTION_TIME: Span = Span::millis(2_000);
+/// Number of nodes whose suspicions together are sufficient.
+const SUFFICIENT_WITNESSES: usize = 2;
+/// Time between two attempts to reach nodes that are down.
 const ANNOUNCE_INTERVAL: Span = Span::seconds(2);
 /// Time between two attempts to reach an unreachable domain.
 const DISCOVERY_INTERVAL: Span = Span::seconds(1);
-
-record! {
-    /// State of another node.
-    pub struct Peer {
-        /// Name, domain and addresses of the node.
-        pub member: Member,
-        /// Time of its last heartbeat.
-        pub heard_at: Option<Moment>,
-        /// Time when this node last announced itself to it, if no heartbeat came since.
-        pub announced_at: Option<Moment>,
-        /// Whether it has reported that it is shutting down.
-        pub leaving: bool,
-        /// Whether it has reported that it can serve requests.
-        pub ready: bool,
-        /// Identity of its process, zero if unknown; it changes with a restart.
-        pub process: u64,
-    }
-
-    /// A live node, as the leader of its domain reports it.
-    #[derive(Copy)]
-    pub struct Node {
-        /// Identity of the node.
-        pub ident: u64,
-        /// Whether it can serve requests.
-        pub ready: bool,
-    }
-
-    /// State of a domain, as its leader reports it.
-    pub struct Summary {
-        /// Name of the domain.
-        pub domain: String,
-        /// Time since its leader sent the report.
-        pub age: Span,
-        /// Live nodes of the domain.
-        pub live: Vec<Node>,
-    }
-}
+/// Time after which a node that is down is forgotten. Until then it counts in the shares of limits,
+/// as it may be alive behind a partition.
+const FORGET_TIME: Span = Span::seconds(600);
 
 /// State of another domain.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Domain {
-    leader: Option<u64>,
     heard_at: Option<Moment>,
-    live: Vec<Node>,
     tried_at: Option<Moment>,
-    /// Attempts to reach the domain since its last report.
+    /// Attempts to reach the domain since it was last heard.
     tries: usize,
 }
 
+/// What follows from the entries; updated with each change of them.
+#[derive(Clone, Debug, Default)]
+struct Derived {
+    neighbours: BTreeSet<u64>,
+    /// Leader of each domain with a live node.
+    leaders: BTreeMap<String, u64>,
+    /// Digest of each domain's entries.
+    digests: BTreeMap<String, u64>,
+    /// Number of live nodes of the own domain that precede this one in the order of leadership.
+    rank: usize,
+    live_local: usize,
+}
+
+/// Result of an update: whether it is news to this node, and to the sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// The update is news and was applied.
+    New,
+    /// The same is known already.
+    Known,
+    /// This node knows something newer.
+    Outdated,
+}
+
 /// The nodes that a node knows, by identity.
 #[derive(Clone, Debug)]
 pub struct Members {
     /// Name, domain and addresses of this node.
     pub own: Member,
     own_ident: u64,
+    own_report: Report,
     peers: BTreeMap<u64, Peer>,
-    remote: BTreeMap<String, Domain>,
+    domains: BTreeMap<String, Domain>,
+    announced_at: Moment,
+    derived: Derived,
+    new_neighbours: Vec<u64>,
 }
 
 impl Members {
     /// Creates the members of a node that knows only itself.
     #[must_use]
     pub fn new(own: Member) -> Self {
-        Self { own_ident: own.ident(), own, peers: BTreeMap::new(), remote: BTreeMap::new() }
+        let own_ident = own.ident();
+        let own_report = Report { ident: own_ident, incarnation: 1, standing: Standing::Starting };
+        let mut members = Self {
+            own,
+            own_ident,
+            own_report,
+            peers: BTreeMap::new(),
+            domains: BTreeMap::new(),
+            announced_at: Moment::default(),
+            derived: Derived::default(),
+            new_neighbours: Vec::new(),
+        };
+        members.refresh(Moment::default());
+        members
     }
 
     /// Returns the identity of this node.
@@ -93,33 +109,173 @@
         self.own_ident
     }
 
-    /// Adds or updates a node; returns whether it is new or has changed, such as its address.
-    pub fn learn(&mut self, member: &Member) -> bool {
-        let ident = member.ident();
-        if ident == self.own_ident {
-            return false;
+    /// Returns this node's entry.
+    #[must_use]
+    pub fn own_entry(&self) -> Entry {
+        Entry { member: self.own.clone(), report: self.own_report }
+    }
+
+    /// Starts a new incarnation of this node, not below `at_least`.
+    pub fn renew(&mut self, now: Moment, at_least: u64, standing: Standing) {
+        let incarnation = (self.own_report.incarnation + 1).max(at_least);
+        self.own_report = Report { incarnation, standing, ..self.own_report };
+        self.refresh(now);
+    }
+
+    /// Returns what this node says of its service.
+    #[must_use]
+    pub fn own_report(&self) -> Report {
+        self.own_report
+    }
+
+    /// Applies an entry of another node.
+    pub fn apply_entry(
+        &mut self,
+        chart: &Chart<State, Event, Action>,
+        now: Moment,
+        entry: &Entry,
+    ) -> Applied {
+        if entry.report.ident != entry.member.ident() || entry.report.ident == self.own_ident {
+            return Applied::Known;
         }
-        if member.domain != self.own.domain {
-            self.remote.entry(member.domain.clone()).or_default();
+        let Some(known) = self.peers.get_mut(&entry.report.ident) else {
+            let peer = Peer::new(entry.clone());
+            self.peers.insert(entry.report.ident, Peer { down_at: now, ..peer });
+            self.refresh(now);
+            return Applied::New;
+        };
+        if entry.report.incarnation > known.incarnation {
+            known.member = entry.member.clone();
         }
-        if let Some(known) = self.peers.get_mut(&ident) {
-            let changed = known.member != *member;
-            if changed {
-                known.member = member.clone();
-                known.announced_at = None;
-            }
-            return changed;
+        self.apply_report(chart, now, entry.report)
+    }
+
+    /// Applies a report of another node; one of an unknown node has no effect.
+    pub fn apply_report(
+        &mut self,
+        chart: &Chart<State, Event, Action>,
+        now: Moment,
+        report: Report,
+    ) -> Applied {
+        let Some(peer) = self.peers.get_mut(&report.ident) else { return Applied::Known };
+        let known = peer.report();
+        if report == known {
+            return Applied::Known;
+        }
+        if report.incarnation < known.incarnation
+            || known.standing == Standing::Down && report.incarnation == known.incarnation
+        {
+            return Applied::Outdated;
+        }
+        if report.standing == Standing::Down {
+            peer.incarnation = report.incarnation;
+            peer.step(chart, now, Event::Condemned);
+        } else if !peer.adopt(chart, now, report.incarnation, report.standing) {
+            return Applied::Known;
+        }
+        self.refresh(now);
+        Applied::New
+    }
+
+    /// Applies a suspicion, and returns the actions that follow.
+    pub fn apply_suspicion(
+        &mut self,
+        chart: &Chart<State, Event, Action>,
+        now: Moment,
+        suspicion: Suspicion,
+    ) -> Vec<Action> {
+        let sufficient = SUFFICIENT_WITNESSES.min(self.derived.live_local.max(1));
+        let Some(peer) = self.peers.get_mut(&suspicion.ident) else { return Vec::new() };
+        if suspicion.incarnation != peer.incarnation
+            || peer.state == State::Down
+            || peer.witnesses.contains(&suspicion.witness)
+        {
+            return Vec::new();
         }
-        let peer = Peer {
-            member: member.clone(),
-            heard_at: None,
-            announced_at: None,
-            leaving: false,
-            ready: false,
-            process: 0,
+        peer.witnesses.push(suspicion.witness);
+        peer.step(chart, now, Event::Suspected);
+        // The word of every witness is passed on, as another node may lack the first one's.
+        let mut actions = vec![Action::SpreadSuspicion];
+        if peer.witnesses.len() >= sufficient {
+            actions.extend(peer.step(chart, now, Event::Confirmed));
+        }
+        self.refresh(now);
+        actions
+    }
+
+    /// Returns the neighbours that have been silent for too long, unless this node has said so.
+    #[must_use]
+    pub fn silent_neighbours(&self, now: Moment) -> Vec<Suspicion> {
+        let neighbours = self.derived.neighbours.iter().filter_map(|ident| self.peers.get(ident));
+        let silent = neighbours.filter(|peer| {
+            peer.state != State::Down
+                && !peer.witnesses.contains(&self.own_ident)
+                && peer.heard_at.is_none_or(|at| now.since(at) >= LOCAL_TIMEOUT)
+        });
+        let suspicion = |peer: &Peer| Suspicion {
+            ident: peer.member.ident(),
+            incarnation: peer.incarnation,
+            witness: self.own_ident,
         };
-        self.peers.insert(ident, peer);
-        true
+        silent.map(suspicion).collect()
+    }
+
+    /// Finds the suspected nodes that have not objected in time to be down, and returns them.
+    pub fn confirm_suspicions(
+        &mut self,
+        chart: &Chart<State, Event, Action>,
+        now: Moment,
+    ) -> Vec<Report> {
+        let suspected = self.peers.values_mut().filter(|peer| {
+            peer.state == State::Suspected && now.since(peer.suspected_at) >= OBJECTION_TIME
+        });
+        let mut down = Vec::new();
+        for peer in suspected {
+            peer.step(chart, now, Event::Confirmed);
+            down.push(peer.report());
+        }
+        if !down.is_empty() {
+            self.refresh(now);
+        }
+        down
+    }
+
+    /// Records that a node was heard.
+    pub fn record_heard(&mut self, now: Moment, ident: u64) {
+        let Some(peer) = self.peers.get_mut(&ident) else { return };
+        peer.heard_at = Some(now);
+        if let Some(domain) = self.domains.get_mut(&peer.member.domain) {
+            *domain = Domain { heard_at: Some(now), ..Domain::default() };
+        }
+    }
+
+    /// Records that a neighbour knows when another domain was heard last.
+    pub fn record_domain_heard(&mut self, at: Moment, name: &str) {
+        if let Some(domain) = self.domains.get_mut(name)
+            && Some(at) > domain.heard_at
+        {
+            domain.heard_at = Some(at);
+        }
+    }
+
+    /// Extends the time in which neighbours have to be heard, after this node was late itself.
+    pub fn excuse(&mut self, now: Moment, lateness: Span) {
+        for peer in self.peers.values_mut() {
+            peer.heard_at = peer.heard_at.map(|at| (at + lateness).min(now));
+        }
+        for domain in self.domains.values_mut() {
+            domain.heard_at = domain.heard_at.map(|at| (at + lateness).min(now));
+        }
+    }
+
+    /// Forgets nodes that have been down for long.
+    pub fn forget(&mut self, now: Moment) {
+        let before = self.peers.len();
+        self.peers
+            .retain(|_, peer| peer.state != State::Down || now.since(peer.down_at) < FORGET_TIME);
+        if self.peers.len() != before {
+            self.refresh(now);
+        }
     }
 
     /// Returns another node, mutably.
@@ -157,120 +313,152 @@
         peers.map(|(ident, _)| ident).chain(own)
     }
 
+    /// Returns the entries of a domain, including this node's own, for a node that knows others.
+    #[must_use]
+    pub fn entries(&self, domain: &str) -> Vec<Entry> {
+        let peers = self.peers.values().filter(|peer| peer.member.domain == domain);
+        let entry = |peer: &Peer| Entry { member: peer.member.clone(), report: peer.report() };
+        let own = (self.own.domain == domain).then(|| self.own_entry());
+        peers.map(entry).chain(own).collect()
+    }
+
     /// Returns the other live nodes of this domain.
-    pub fn local_peers(&self, now: Moment) -> impl Iterator<Item = (u64, &Peer)> {
+    pub fn local_peers(&self) -> impl Iterator<Item = (u64, &Peer)> {
         let own = self.own.domain.as_str();
-        self.peers().filter(move |(_, peer)| peer.member.domain == own && peer.is_live(now))
+        self.peers().filter(move |(_, peer)| peer.member.domain == own && peer.is_live())
+    }
+
+    /// Returns the live nodes of the other reachable domains.
+    pub fn remote_peers(&self, now: Moment) -> impl Iterator<Item = (u64, &Peer)> {
+        let reachable = move |peer: &Peer| {
+            let domain = self.domains.get(&peer.member.domain);
+            domain.is_some_and(|domain| domain.is_reachable(now))
+        };
+        self.peers().filter(move |(_, peer)| peer.is_live() && reachable(peer))
+    }
+
+    /// Returns whether another node counts as live.
+    #[must_use]
+    pub fn is_live(&self, now: Moment, ident: u64) -> bool {
+        let Some(peer) = self.peers.get(&ident) else { return false };
+        let domain = self.domains.get(&peer.member.domain);
+        peer.is_live() && domain.is_none_or(|domain| domain.is_reachable(now))
+    }
+
+    /// Returns the nodes of this domain with which this node exchanges heartbeats.
+    #[must_use]
+    pub fn neighbours(&self) -> &BTreeSet<u64> {
+        &self.derived.neighbours
+    }
+
+    /// Returns the nodes that have become neighbours since the last call.
+    pub fn take_new_neighbours(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.new_neighbours)
+    }
+
+    /// Returns whether the nodes of this domain are all neighbours of each other.
+    #[must_use]
+    pub fn is_full_mesh(&self) -> bool {
+        self.derived.live_local <= overlay::MAX_NEIGHBOURS
+    }
+
+    /// Returns the number of live nodes of this domain that precede this one in the order in which
+    /// they become leaders.
+    #[must_use]
+    pub fn rank(&self) -> usize {
+        self.derived.rank
+    }
+
+    /// Returns whether no live node has been heard since the start.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.peers.values().all(|peer| !peer.is_live() || peer.process == 0)
     }
 
     /// Returns the leader of this domain: the live node whose hashed identity is the smallest.
     #[must_use]
-    pub fn leader(&self, now: Moment) -> u64 {
-        let local = self.local_peers(now).map(|(ident, _)| ident);
-        local.chain([self.own_ident]).min_by_key(|ident| mix(*ident)).unwrap_or(self.own_ident)
+    pub fn leader(&self) -> u64 {
+        self.derived.leaders.get(&self.own.domain).copied().unwrap_or(self.own_ident)
     }
 
     /// Returns whether this node is the leader of its domain.
     #[must_use]
-    pub fn is_leader(&self, now: Moment) -> bool {
-        self.leader(now) == self.own_ident
+    pub fn is_leader(&self) -> bool {
+        self.leader() == self.own_ident
     }
 
     /// Returns the leaders of the other reachable domains.
     pub fn remote_leaders(&self, now: Moment) -> impl Iterator<Item = u64> {
-        self.remote
-            .values()
-            .filter(move |domain| domain.is_reachable(now))
-            .filter_map(|domain| domain.leader)
+        let reachable = self.domains.iter().filter(move |(_, domain)| domain.is_reachable(now));
+        reachable.filter_map(|(name, _)| self.derived.leaders.get(name).copied())
     }
 
     /// Returns the leader of a domain, if it is known.
     #[must_use]
-    pub fn leader_of(&self, now: Moment, domain: &str) -> Option<u64> {
-        if domain == self.own.domain {
-            return Some(self.leader(now));
-        }
-        self.remote.get(domain)?.leader
+    pub fn leader_of(&self, domain: &str) -> Option<u64> {
+        self.derived.leaders.get(domain).copied()
     }
 
-    /// Records a node as the leader of its domain, unless that is this node's own domain.
-    pub fn record_leader(&mut self, ident: u64) {
-        if let Some(peer) = self.peers.get(&ident)
-            && let Some(domain) = self.remote.get_mut(&peer.member.domain)
-        {
-            domain.leader = Some(ident);
-        }
-    }
-
-    /// Applies what the leader of another domain reports of that domain.
-    pub fn apply_leader_report(&mut self, now: Moment, ident: u64, live: Vec<Node>) {
-        self.record_leader(ident);
-        if let Some(peer) = self.peers.get(&ident)
-            && let Some(domain) = self.remote.get_mut(&peer.member.domain)
-        {
-            *domain =
-                Domain { leader: Some(ident), heard_at: Some(now), live, ..Domain::default() };
+    /// Returns the first live nodes of each other domain in the order in which they become leaders.
+    #[must_use]
+    pub fn leader_candidates(&self, count: usize) -> Vec<u64> {
+        let mut candidates = Vec::new();
+        for domain in self.domains.keys() {
+            let live =
+                self.peers().filter(|(_, peer)| peer.member.domain == *domain && peer.is_live());
+            let mut live: Vec<u64> = live.map(|(ident, _)| ident).collect();
+            live.sort_unstable_by_key(|ident| mix(*ident));
+            candidates.extend(live.into_iter().take(count));
         }
+        candidates
     }
 
-    /// Applies what the leader of this domain passes on about another domain, if it is newer.
-    pub fn apply_summary(&mut self, now: Moment, summary: &Summary) {
-        if summary.domain == self.own.domain {
-            return;
-        }
-        let domain = self.remote.entry(summary.domain.clone()).or_default();
-        let heard_at = Some(now - summary.age);
-        if heard_at > domain.heard_at {
-            domain.heard_at = heard_at;
-            domain.live.clone_from(&summary.live);
-        }
+    /// Returns the entries of a domain that a list of its entries lacks, without nodes that are down.
+    #[must_use]
+    pub fn missing_in(&self, entries: &[Entry]) -> Vec<Entry> {
+        let Some(domain) = entries.first().map(|entry| &entry.member.domain) else {
+            return Vec::new();
+        };
+        let listed: BTreeSet<u64> = entries.iter().map(|entry| entry.report.ident).collect();
+        let own = self.entries(domain).into_iter();
+        own.filter(|entry| {
+            entry.report.standing != Standing::Down && !listed.contains(&entry.report.ident)
+        })
+        .collect()
     }
 
-    /// Returns the summary of this node's domain.
+    /// Returns the digest of each domain's entries.
     #[must_use]
-    pub fn own_summary(&self, now: Moment, ready: bool, leaving: bool) -> Summary {
-        let local = self.local_peers(now).map(|(ident, peer)| Node { ident, ready: peer.ready });
-        let own = (!leaving).then_some(Node { ident: self.own_ident, ready });
-        let live = local.chain(own).collect();
-        Summary { domain: self.own.domain.clone(), age: Span::ZERO, live }
-    }
-
-    /// Returns the summaries of the other reachable domains.
-    pub fn remote_summaries(&self, now: Moment) -> impl Iterator<Item = Summary> {
-        let reachable = self.remote.iter().filter(move |(_, domain)| domain.is_reachable(now));
-        reachable.filter_map(move |(name, domain)| {
-            let age = now.since(domain.heard_at?);
-            Some(Summary { domain: name.clone(), age, live: domain.live.clone() })
-        })
+    pub fn digests(&self) -> &BTreeMap<String, u64> {
+        &self.derived.digests
     }
 
-    /// Returns the live nodes of the other reachable domains.
-    pub fn live_remote_nodes(&self, now: Moment) -> impl Iterator<Item = Node> {
-        let reachable = self.remote.values().filter(move |domain| domain.is_reachable(now));
-        reachable.flat_map(|domain| domain.live.iter().copied())
+    /// Returns the time since another domain was heard, if it is reachable.
+    #[must_use]
+    pub fn domain_age(&self, now: Moment, name: &str) -> Option<Span> {
+        let domain = self.domains.get(name).filter(|domain| domain.is_reachable(now))?;
+        Some(now.since(domain.heard_at?))
     }
 
-    /// Returns the silent nodes of this domain to which an announcement is due, and records the
-    /// announcements.
+    /// Returns the nodes of this domain that are down, if an attempt to reach some of them is due.
     pub fn announce_targets(&mut self, now: Moment) -> Vec<u64> {
-        let own = self.own.domain.as_str();
-        let mut targets = Vec::new();
-        for (ident, peer) in &mut self.peers {
-            let silent = peer.heard_at.is_none_or(|at| now.since(at) >= LOCAL_TIMEOUT);
-            let due = peer.announced_at.is_none_or(|at| now.since(at) >= ANNOUNCE_INTERVAL);
-            if silent && due && peer.member.domain == own {
-                peer.announced_at = Some(now);
-                targets.push(*ident);
-            }
+        if now.since(self.announced_at) < ANNOUNCE_INTERVAL {
+            return Vec::new();
         }
-        targets
+        self.announced_at = now;
+        let own = self.own.domain.as_str();
+        let down = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.member.domain == own && peer.state == State::Down);
+        down.map(|(ident, _)| *ident).collect()
     }
 
-    /// Returns one node of each unreachable domain, a different one at each attempt; the last known
-    /// leader comes first.
+    /// Returns one node of each unreachable domain, a different one at each attempt; its leader
+    /// comes first.
     pub fn discovery_targets(&mut self, now: Moment) -> Vec<u64> {
         let mut targets = Vec::new();
-        for (name, domain) in &mut self.remote {
+        for (name, domain) in &mut self.domains {
             let due = domain.tried_at.is_none_or(|at| now.since(at) >= DISCOVERY_INTERVAL);
             if domain.is_reachable(now) || !due {
                 continue;
@@ -279,7 +467,7 @@
             let mut nodes: Vec<u64> = nodes.map(|(ident, _)| *ident).collect();
             nodes.sort_by_key(|ident| mix(*ident));
             domain.tried_at = Some(now);
-            let leader = domain.leader.filter(|_| domain.tries == 0);
+            let leader = self.derived.leaders.get(name).copied().filter(|_| domain.tries == 0);
             targets
                 .extend(leader.or_else(|| nodes.get(domain.tries % nodes.len().max(1)).copied()));
             domain.tries += 1;
@@ -290,19 +478,26 @@
     /// Returns the reachable domains, including this one, in an order that depends on `ident` only,
     /// so that nodes agree on it without messages.
     fn ranked_domains(&self, now: Moment, ident: u64) -> Vec<&str> {
-        let reachable = self.remote.iter().filter(|(_, domain)| domain.is_reachable(now));
+        let reachable = self.domains.iter().filter(|(_, domain)| domain.is_reachable(now));
         let reachable = reachable.map(|(name, _)| name.as_str());
         let mut ranked: Vec<&str> = reachable.chain([self.own.domain.as_str()]).collect();
         ranked.sort_by_key(|domain| mix(ident ^ digest(&[domain.as_bytes()])));
         ranked
     }
 
-    /// Returns whether this node is one of the leaders that watch the store for all nodes.
+    /// Returns the rank of this node among the leaders that may watch the store for all nodes, or
+    /// `None` if it is no leader. The first one does, and the second one is its backup.
     #[must_use]
-    pub fn is_reader(&self, now: Moment) -> bool {
+    pub fn reader_rank(&self, now: Moment) -> Option<usize> {
         let ranked = self.ranked_domains(now, digest(&[b"reader"]));
         let own = self.own.domain.as_str();
-        self.is_leader(now) && ranked.iter().take(READER_DOMAINS).any(|domain| *domain == own)
+        ranked.iter().position(|domain| *domain == own).filter(|_| self.is_leader())
+    }
+
+    /// Returns whether no other domain is reachable.
+    #[must_use]
+    pub fn is_only_domain(&self, now: Moment) -> bool {
+        !self.domains.values().any(|domain| domain.is_reachable(now))
     }
 
     /// Returns the domain whose leader drives the trial with the given identity.
@@ -318,19 +513,60 @@
         let own = self.own.domain.as_str();
         self.ranked_domains(now, ident).iter().position(|domain| *domain == own).unwrap_or(0)
     }
-}
 
-impl Peer {
-    /// Returns whether a heartbeat came within the time-out and the node is not shutting down.
-    #[must_use]
-    pub fn is_live(&self, now: Moment) -> bool {
-        !self.leaving && self.heard_at.is_some_and(|at| now.since(at) < LOCAL_TIMEOUT)
+    /// Updates what follows from the entries.
+    fn refresh(&mut self, now: Moment) {
+        let own_live = self.own_report.standing != Standing::Leaving;
+        let own = self.own.domain.clone();
+        let mut derived = Derived::default();
+        let mut consider = |domain: &str, ident: u64, live: bool, report: Report| {
+            if report.standing != Standing::Down {
+                *derived.digests.entry(domain.to_owned()).or_default() ^= fingerprint(report);
+            }
+            if live {
+                let leader = derived.leaders.entry(domain.to_owned()).or_insert(ident);
+                if mix(ident) < mix(*leader) {
+                    *leader = ident;
+                }
+            }
+        };
+        consider(&own, self.own_ident, own_live, self.own_report);
+        for (ident, peer) in &self.peers {
+            consider(&peer.member.domain, *ident, peer.is_live(), peer.report());
+        }
+        // Nodes that are leaving still pass on what they learn.
+        let local = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.member.domain == own && peer.state != State::Down);
+        let local: Vec<u64> = local.map(|(ident, _)| *ident).collect();
+        derived.live_local = local.len();
+        derived.rank = local.iter().filter(|ident| mix(**ident) < mix(self.own_ident)).count();
+        derived.neighbours = overlay::neighbours(self.own_ident, local.into_iter());
+        for ident in derived.neighbours.difference(&self.derived.neighbours) {
+            self.new_neighbours.push(*ident);
+            if let Some(peer) = self.peers.get_mut(ident) {
+                let expected = now - Span(LOCAL_TIMEOUT.0 - NEW_NEIGHBOUR_TIMEOUT.0);
+                peer.heard_at = peer.heard_at.max(Some(expected));
+            }
+        }
+        for peer in self.peers.values() {
+            if peer.member.domain != own && !self.domains.contains_key(&peer.member.domain) {
+                self.domains.insert(peer.member.domain.clone(), Domain::default());
+            }
+        }
+        self.derived = derived;
     }
 }
 
 impl Domain {
-    /// Returns whether a report of the domain came within the time-out.
+    /// Returns whether the domain was heard within the time-out.
     fn is_reachable(&self, now: Moment) -> bool {
         self.heard_at.is_some_and(|at| now.since(at) < REMOTE_TIMEOUT)
     }
 }
+
+/// Returns a hash of a report; the digest of several is their exclusive or.
+fn fingerprint(report: Report) -> u64 {
+    mix(report.ident ^ mix(report.incarnation ^ mix(report.standing.index() as u64)))
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -7,7 +7,7 @@
 use model::registry::{Kind, Member};
 use policy::rollout::Row;
 
-use crate::member::Summary;
+use crate::peer::{Entry, Report, Standing, Suspicion};
 use crate::trial::Progress;
 use crate::view::Batch;
 
@@ -23,13 +23,15 @@
         },
         /// Regular heartbeat.
         Heartbeat(Heartbeat),
-        /// Requests the nodes that the receiver knows.
-        FetchMembers,
-        /// Nodes that the sender knows.
-        Members(Vec<Member>),
-        /// Leader of the sender's domain: the reply of any other node to a heartbeat from another
-        /// domain.
-        Leader(Member),
+        /// Requests the entries of a failure domain, or those of the receiver's own one.
+        FetchMembers {
+            /// Name of the domain.
+            domain: Option<String>,
+        },
+        /// The entries of a failure domain.
+        Members(Vec<Entry>),
+        /// What the sender has learned of nodes.
+        Gossip(Gossip),
         /// Facts from the store.
         Facts {
             /// Kind of the facts.
@@ -64,18 +66,28 @@
         Departed(Vec<u64>),
     }
 
+    /// Changes of what is known of nodes.
+    #[derive(Default)]
+    pub struct Gossip {
+        /// Nodes that are new or have moved.
+        pub entries: Vec<Entry>,
+        /// Reports of known nodes.
+        pub reports: Vec<Report>,
+        /// Suspicions of nodes of the sender's domain.
+        pub suspicions: Vec<Suspicion>,
+    }
+
     /// State that a node sends to others at regular intervals.
     pub struct Heartbeat {
         /// Identity of the sender's process; it changes with a restart.
         pub process: u64,
-        /// Whether the sender is shutting down.
-        pub leaving: bool,
-        /// Whether the sender can serve requests.
-        pub ready: bool,
-        /// Whether the sender leads its domain.
-        pub leader: bool,
-        /// From a leader only: the other domains if sent within its domain, its own domain if sent
-        /// to other leaders.
+        /// Incarnation of the sender.
+        pub incarnation: u64,
+        /// What the sender says of its service.
+        pub standing: Standing,
+        /// Whether the sender wants a heartbeat in return.
+        pub expects_reply: bool,
+        /// What the sender knows of each failure domain.
         pub domains: Vec<Summary>,
         /// Revision and age of each kind of fact at the sender.
         pub confirmations: Vec<Confirmation>,
@@ -83,6 +95,16 @@
         pub trials: Vec<Progress>,
     }
 
+    /// What a node knows of a failure domain.
+    pub struct Summary {
+        /// Name of the domain.
+        pub domain: String,
+        /// Time since the domain was heard, if it is reachable; zero for the sender's own.
+        pub age: Option<Span>,
+        /// Digest of the sender's entries of the domain.
+        pub digest: u64,
+    }
+
     /// Revision up to which a node knows the facts of a kind, and when the store confirmed that
     /// nothing newer exists.
     #[derive(Copy)]
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -2,6 +2,14 @@
 
 use base::prelude::*;
 
+/// Share of the change time after which facts are confirmed again.
+const CONFIRMATION_SHARE: f64 = 0.3;
+/// Share of the change time after which a missing confirmation calls the backup.
+const BACKUP_SHARE: f64 = 0.45;
+/// Share of the change time after which a missing confirmation calls others; the rest is for a tick
+/// and a read.
+const PATIENCE_SHARE: f64 = 0.65;
+
 record! {
     /// Limits that hold in sum over all nodes, and times that hold on every node.
     #[derive(Copy)]
@@ -22,6 +30,8 @@
         pub cold_slack: f64,
         /// Maximum health checks per second that one upstream receives from all nodes.
         pub probe_rate: f64,
+        /// Time from a change in the store until no node may act on what was true before.
+        pub change_time: Span,
         /// Maximum time for which callers may cache the addresses of nodes.
         pub advice_time: Span,
     }
@@ -38,7 +48,28 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             probe_rate: 60.0,
+            change_time: Span::seconds(2),
             advice_time: Span::seconds(5),
         }
     }
 }
+
+impl Terms {
+    /// Returns how often the node that watches the store for all confirms that nothing has changed.
+    #[must_use]
+    pub fn confirmation_interval(&self) -> Span {
+        self.change_time.scale(CONFIRMATION_SHARE)
+    }
+
+    /// Returns the age of the last confirmation from which on the backup of that node watches too.
+    #[must_use]
+    pub fn backup_patience(&self) -> Span {
+        self.change_time.scale(BACKUP_SHARE)
+    }
+
+    /// Returns the age of the last confirmation from which on other nodes watch the store.
+    #[must_use]
+    pub fn patience(&self) -> Span {
+        self.change_time.scale(PATIENCE_SHARE)
+    }
+}
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -23,8 +23,8 @@
 use crate::clock;
 use crate::logs;
 use crate::message::{
-    Deliver, Directive, Discover, FinishRollout, Handle, Message, Probe, State, Target,
-    UpdateAddress,
+    Deliver, Directive, Discover, FindMembers, FinishRollout, Handle, Message, Probe,
+    RegisterMember, State, Target, UpdateAddress,
 };
 use crate::peers::Peers;
 use crate::pool::Pool;
@@ -33,6 +33,8 @@
 
 /// Time between ticks of the engine.
 const TICK_INTERVAL: Span = Span::millis(200);
+/// Time between ticks of an engine that cannot serve yet.
+const START_TICK_INTERVAL: Span = Span::millis(50);
 /// Ticks between removals of expired idle connections.
 const POOL_CLEANUP_TICKS: u32 = 10;
 /// Minimum growth of [`Dispatcher::clock_offset`] that counts as a suspension of the machine.
@@ -56,6 +58,8 @@
     Discover(Discover),
     Address(UpdateAddress),
     Finish(FinishRollout),
+    Find(FindMembers),
+    Register(RegisterMember),
 }
 
 /// A request whose front end waits for a directive.
@@ -138,7 +142,8 @@
         if now < self.next_tick {
             return;
         }
-        self.next_tick = now + TICK_INTERVAL;
+        let interval = if self.engine.is_ready() { TICK_INTERVAL } else { START_TICK_INTERVAL };
+        self.next_tick = now + interval;
         self.apply(Input::Tick);
         self.ticks += 1;
         if self.ticks.is_multiple_of(POOL_CLEANUP_TICKS) {
@@ -270,8 +275,14 @@
             Output::Send { to, frame } => {
                 self.outbox.push(Outgoing::Deliver(Deliver { to, frame }));
             }
-            Output::Discover(frame) => self.outbox.push(Outgoing::Discover(Discover(frame))),
+            Output::Discover { to, frame } => {
+                self.outbox.push(Outgoing::Discover(Discover { to, frame }));
+            }
             Output::Address(member) => self.outbox.push(Outgoing::Address(UpdateAddress(member))),
+            Output::FindMembers => self.outbox.push(Outgoing::Find(FindMembers)),
+            Output::Register { alone } => {
+                self.outbox.push(Outgoing::Register(RegisterMember { alone }));
+            }
             Output::Watch(watching) => {
                 // The readers end only when the node does.
                 let _ = self.tasks.watching.send(watching);
@@ -293,6 +304,8 @@
                 Outgoing::Deliver(deliver) => peers.send(deliver).detach().await.map(drop),
                 Outgoing::Discover(discover) => peers.send(discover).detach().await.map(drop),
                 Outgoing::Address(update) => peers.send(update).detach().await.map(drop),
+                Outgoing::Find(find) => writer.send(find).detach().await.map(drop),
+                Outgoing::Register(register) => writer.send(register).detach().await.map(drop),
                 Outgoing::Finish(finish) => writer.send(finish).detach().await.map(drop),
             };
         }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -178,9 +178,14 @@
     pub frame: Frame,
 }
 
-/// Sends a frame to all seed addresses of the settings.
+/// Sends a frame to an address at which the node is not known yet.
 #[derive(Debug)]
-pub struct Discover(pub Frame);
+pub struct Discover {
+    /// The address.
+    pub to: SocketAddr,
+    /// The frame to send.
+    pub frame: Frame,
+}
 
 /// Records the address of a member that is new, has moved or has restarted.
 #[derive(Debug)]
@@ -201,6 +206,17 @@
     pub connection: Option<Connection>,
 }
 
+/// Reads the members that the store lists, which may be some seconds old.
+#[derive(Clone, Copy, Debug)]
+pub struct FindMembers;
+
+/// Registers this node in the store as a member.
+#[derive(Clone, Copy, Debug)]
+pub struct RegisterMember {
+    /// Whether the node has to find those that register at the same time.
+    pub alone: bool,
+}
+
 /// Writes the verdict of a trial to the store.
 #[derive(Debug)]
 pub struct FinishRollout(pub Verdict);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,25 +15,15 @@
 /// The sending task: it owns the connections to other nodes and knows their addresses.
 #[derive(xtra::Actor)]
 pub struct Peers {
-    seeds: Vec<SocketAddr>,
     addresses: BTreeMap<u64, SocketAddr>,
     links: Links,
 }
 
 impl Peers {
-    /// Creates the task's state; the node's own address is removed from the seeds.
+    /// Creates the task's state.
     #[must_use]
-    pub fn new(
-        own_ident: u64,
-        own_address: SocketAddr,
-        endpoint: Endpoint,
-        seeds: Vec<SocketAddr>,
-    ) -> Self {
-        Self {
-            seeds: seeds.into_iter().filter(|seed| *seed != own_address).collect(),
-            addresses: BTreeMap::new(),
-            links: Links::new(own_ident, own_address, endpoint),
-        }
+    pub fn new(own_ident: u64, own_address: SocketAddr, endpoint: Endpoint) -> Self {
+        Self { addresses: BTreeMap::new(), links: Links::new(own_ident, own_address, endpoint) }
     }
 
     fn send(&mut self, address: SocketAddr, frame: Frame) {
@@ -61,10 +51,8 @@
 impl Handler<Discover> for Peers {
     type Return = ();
 
-    async fn handle(&mut self, Discover(frame): Discover, _: &mut Context<Self>) {
-        for seed in self.seeds.clone() {
-            self.send(seed, frame.clone());
-        }
+    async fn handle(&mut self, discover: Discover, _: &mut Context<Self>) {
+        self.send(discover.to, discover.frame);
     }
 }
 
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -18,8 +18,6 @@
 use crate::logs;
 use crate::message::{Handle, Message};
 
-/// Longest wait of a watch of [`PROBING_KIND`], which has to confirm its facts this often.
-const CONFIRMATION_WAIT: Span = Span::millis(700);
 /// Minimum time for which such a watch waits.
 const MIN_CONFIRMATION_WAIT: Span = Span::millis(100);
 /// Time for which the other watches wait.
@@ -52,11 +50,11 @@
     store: R,
     kind: Kind,
     dispatcher: Handle,
+    /// Longest wait of a watch of [`PROBING_KIND`], which has to confirm its facts this often.
+    confirmation_interval: Span,
     watching: watch::Receiver<bool>,
     /// Whether the store is available, shared by all readers of a node.
     available: watch::Sender<bool>,
-    /// Whether all facts have been read at least once.
-    listed: bool,
     /// Revision after which to watch; zero if all facts have to be read.
     after: u64,
     /// Revision that the last watch returned, if it ended without changes.
@@ -74,6 +72,7 @@
         store: R,
         kind: Kind,
         dispatcher: Handle,
+        confirmation_interval: Span,
         watching: watch::Receiver<bool>,
         available: watch::Sender<bool>,
     ) -> Self {
@@ -81,9 +80,9 @@
             store,
             kind,
             dispatcher,
+            confirmation_interval,
             watching,
             available,
-            listed: false,
             after: 0,
             unchanged_revision: None,
             confirmed_at: Moment::default(),
@@ -130,10 +129,10 @@
 
     /// Returns whether this reader may pause while the node does not watch the store.
     ///
-    /// Every reader has to read all facts once before. That of [`PROBING_KIND`] also completes a
-    /// read after a failure, as it alone measures how long the store was unavailable.
+    /// The reader of [`PROBING_KIND`] completes a read after a failure, as it alone measures how long
+    /// the store was unavailable.
     fn can_pause(&self) -> bool {
-        self.after > 0 || (self.listed && self.kind != PROBING_KIND)
+        self.unavailable_since.is_none() || self.kind != PROBING_KIND
     }
 
     fn report_availability(&self, available: bool) {
@@ -155,7 +154,6 @@
         let batch = Batch { after: None, revision, after_outage, items };
         self.dispatcher.post(Message::Facts { kind: self.kind, batch, asked_at });
         self.after = revision;
-        self.listed = true;
         self.confirmed_at = asked_at;
         self.unchanged_revision = None;
         Ok(())
@@ -166,7 +164,7 @@
         if self.kind != Kind::Upstreams {
             return WATCH_WAIT;
         }
-        let remaining = CONFIRMATION_WAIT.0.saturating_sub(now.since(self.confirmed_at).0);
+        let remaining = self.confirmation_interval.0.saturating_sub(now.since(self.confirmed_at).0);
         Span(remaining).max(MIN_CONFIRMATION_WAIT).into()
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -33,7 +33,7 @@
 use crate::reader::Reader;
 use crate::settings::Settings;
 use crate::shared::{Front, Phase};
-use crate::writer::{self, Writer};
+use crate::writer::Writer;
 
 /// Share of the stop time-out after which calls in progress are aborted, so that the process ends
 /// in time.
@@ -101,17 +101,20 @@
     };
     let (process, own_ident) = (rand::random(), own_member.ident());
     let engine =
-        Engine::new(Charts::load()?, own_member.clone(), settings.terms, process, clock::now());
+        Engine::new(Charts::load()?, own_member.clone(), settings.terms, process, clock::now())
+            .with_seeds(&settings.seeds)
+            .with_incarnation(clock::unix_ms());
     let peer_endpoint = peer::endpoint(listen.peers, &Keys::anonymous()?)?;
     let mut tasks = JoinSet::new();
 
     let (peers, mailbox) = Mailbox::unbounded();
-    let state = Peers::new(own_ident, listen.peers, peer_endpoint.clone(), settings.seeds.clone());
+    let state = Peers::new(own_ident, listen.peers, peer_endpoint.clone());
     tasks.spawn(xtra::run(mailbox, state));
     let (handle, messages) = Handle::new();
     tasks.spawn(peers::accept(peer_endpoint, handle.clone()));
     let (writer, mailbox) = Mailbox::unbounded();
-    tasks.spawn(xtra::run(mailbox, Writer::new(store.new_connection(), handle.clone())));
+    tasks
+        .spawn(xtra::run(mailbox, Writer::new(store.new_connection(), own_member, handle.clone())));
 
     let (watching, watched) = watch::channel(false);
     let (available, _) = watch::channel(true);
@@ -120,12 +123,12 @@
             store.new_connection(),
             kind,
             handle.clone(),
+            settings.terms.confirmation_interval(),
             watched.clone(),
             available.clone(),
         );
         tasks.spawn(reader.run());
     }
-    tasks.spawn(writer::register(store, own_member, handle.clone()));
 
     let (limits, limits_receiver) = watch::channel(Limits::default());
     let dialect = Arc::new(dialect);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -92,6 +92,8 @@
     }
 }
 
+/// Shortest time after which a change can be followed everywhere: some reads and hops.
+const MIN_CHANGE_TIME: Duration = Duration::from_secs(1);
 /// Largest accepted memory of a machine, in MiB.
 const MAX_MEMORY_MIB: u64 = 1_048_576;
 
@@ -103,6 +105,14 @@
     }
 }
 
+/// Reads the time after which a change has to be followed everywhere: the shortest of those for the
+/// kinds of change.
+fn change_time(reader: &mut Reader, default: Duration) -> Duration {
+    let drain = reader.duration("terms.drain_time", default);
+    let table = reader.duration("terms.table_time", default);
+    drain.min(table).max(MIN_CHANGE_TIME)
+}
+
 /// Largest accepted number of failure domains that may be lost at the same time.
 const MAX_DOMAINS_LOST: u64 = 1_000;
 
@@ -123,6 +133,7 @@
         cold_factor: reader.number("terms.cold_factor", default.cold_factor),
         cold_slack: reader.number("terms.cold_slack", default.cold_slack),
         probe_rate: reader.number("terms.probe_rate", default.probe_rate),
+        change_time: change_time(reader, time(default.change_time)).into(),
         advice_time: reader.duration("terms.advice_time", time(default.advice_time)).into(),
     }
 }
--- a/crates/node/src/writer.rs
+++ b/crates/node/src/writer.rs
@@ -1,7 +1,9 @@
-//! Writes to the store: the verdicts of trials, and the node's own registration as a member.
+//! Writes to the store: the verdicts of trials, and the node's own registration as a member, with
+//! the reads that go with it.
 
 use std::time::Duration;
 
+use base::prelude::*;
 use gateway::view::Batch;
 use log::Level;
 use model::registry::{Fact, Item, Kind, Member, Phase};
@@ -11,7 +13,7 @@
 
 use crate::clock;
 use crate::logs;
-use crate::message::{FinishRollout, Handle, Message};
+use crate::message::{FindMembers, FinishRollout, Handle, Message, RegisterMember};
 
 /// Back-off after the first registration that the store did not confirm.
 const INITIAL_BACK_OFF: Duration = Duration::from_millis(200);
@@ -22,6 +24,7 @@
 #[derive(xtra::Actor)]
 pub struct Writer<R: Registry> {
     store: R,
+    member: Member,
     dispatcher: Handle,
 }
 
@@ -39,10 +42,36 @@
 }
 
 impl<R: Registry> Writer<R> {
-    /// Creates the task's state.
+    /// Creates the state of the task of the node `member`.
     #[must_use]
-    pub fn new(store: R, dispatcher: Handle) -> Self {
-        Self { store, dispatcher }
+    pub fn new(store: R, member: Member, dispatcher: Handle) -> Self {
+        Self { store, member, dispatcher }
+    }
+}
+
+impl<R: Registry> Handler<FindMembers> for Writer<R> {
+    type Return = ();
+
+    async fn handle(&mut self, _: FindMembers, _: &mut Context<Self>) {
+        let asked_at = clock::now();
+        match self.store.list_stale(Kind::Members).await {
+            Ok(listing) => post_members(&self.dispatcher, listing, asked_at),
+            // The engine asks again while it knows no other node.
+            Err(error) => log::warn!("cannot read the members: {error}"),
+        }
+    }
+}
+
+impl<R: Registry> Handler<RegisterMember> for Writer<R> {
+    type Return = ();
+
+    async fn handle(&mut self, request: RegisterMember, _: &mut Context<Self>) {
+        let (store, member) = (self.store.new_connection(), self.member.clone());
+        // Verdicts must not wait while the store does not accept the registration.
+        match request.alone {
+            true => tokio::spawn(register(store, member, self.dispatcher.clone())),
+            false => tokio::spawn(announce(store, member)),
+        };
     }
 }
 
@@ -67,6 +96,17 @@
     }
 }
 
+/// Registers a member in the store; repeats until it succeeds.
+async fn announce<R: Registry>(mut store: R, member: Member) {
+    let mut back_off = INITIAL_BACK_OFF;
+    while let Err(error) = store.register_member(&member).await {
+        log::debug!("cannot register in the store: {error}");
+        tokio::time::sleep(jittered(back_off)).await;
+        back_off = (back_off * 2).min(MAX_BACK_OFF);
+    }
+    log::info!("registered in the store as member {}", member.name);
+}
+
 /// Registers a member in the store and reads the others; repeats until both succeed.
 ///
 /// The members are read once more after the registration: of two members that register at the same
@@ -82,12 +122,16 @@
         }
         registered = is_listed.is_some() && store.register_member(&member).await.is_ok();
         if !registered {
-            tokio::time::sleep(back_off.mul_f64(0.5 + rand::random::<f64>())).await;
+            tokio::time::sleep(jittered(back_off)).await;
             back_off = (back_off * 2).min(MAX_BACK_OFF);
         }
     }
 }
 
+fn jittered(time: Duration) -> Duration {
+    time.mul_f64(0.5 + rand::random::<f64>())
+}
+
 /// Reads the members, passes them to the dispatcher and returns whether `member` is among them, or
 /// `None` if they cannot be read.
 async fn read_members<R: Registry>(
@@ -96,11 +140,16 @@
     dispatcher: &Handle,
 ) -> Option<bool> {
     let asked_at = clock::now();
-    let Listing { items, revision } = store.list(Kind::Members).await.ok()?;
+    let listing = store.list(Kind::Members).await.ok()?;
     let is_member =
         |item: &Item| matches!(&item.fact, Some(Fact::Member(other)) if other == member);
-    let is_registered = items.iter().any(is_member);
+    let is_registered = listing.items.iter().any(is_member);
+    post_members(dispatcher, listing, asked_at);
+    Some(is_registered)
+}
+
+fn post_members(dispatcher: &Handle, listing: Listing, asked_at: Moment) {
+    let Listing { items, revision } = listing;
     let batch = Batch { after: None, revision, after_outage: false, items };
     dispatcher.post(Message::Facts { kind: Kind::Members, batch, asked_at });
-    Some(is_registered)
 }
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -136,6 +136,35 @@
     }
 }
 
+/// Two entries move a small share of few calls over a long time, so that back-offs of failing
+/// upstreams must not use up the time: the evidence has to suffice within half a minute.
+#[test]
+fn bad_version_with_a_small_share_is_rolled_back_soon() {
+    const LONG_WINDOW: Span = Span::seconds(600);
+    for calls_apart in [5, 6, 7, 8, 9, 10, 11, 12] {
+        let mut config = config(2, 2, 1);
+        for number in 2..4 {
+            config = apply(&config, upstream(number, "v2"), common::EPOCH_MS);
+        }
+        let mut fleet = Fleet::new(2, config);
+        fleet.run(Span::seconds(30));
+        for name in ["u2", "u3"] {
+            fleet.upstreams.get_mut(name).expect("an upstream").behavior = Behavior::Fails;
+        }
+        fleet.apply_command_to_all(Command::StartMove {
+            service: "seal".into(),
+            from: "v1".into(),
+            to: "v2".into(),
+            deadline: Deadline::Within(LONG_WINDOW.as_millis()),
+        });
+        fleet.run_with_load(Span::seconds(33), Span::millis(calls_apart), TIMEOUT);
+        let sent: Vec<u64> = ["u2", "u3"].map(|name| fleet.upstreams[name].sent).into();
+        println!("a call in {calls_apart} ms: {sent:?} calls reached the new version");
+        assert_eq!(phase(&fleet), Phase::RolledBack, "{calls_apart}: {sent:?}");
+        assert!(sent.iter().sum::<u64>() < 60, "{calls_apart}: {sent:?}");
+    }
+}
+
 fn apply_disturbance(fleet: &mut Fleet, disturbance: Disturbance) {
     match disturbance {
         Disturbance::Nothing => {}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bench;
 pub mod caller;
 pub mod compare;
+pub mod fleet;
 pub mod load;
 pub mod local;
 pub mod rounds;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -7,6 +7,7 @@
 use clap::{Parser, Subcommand};
 use derive_more::{Display, Error, From};
 use rig::compare::{self, Name, Scenario, Shape, Trace};
+use rig::fleet::{self, report};
 use rig::local::{Local, Plan, SERVICE, TOKEN};
 use rig::rounds::{self, Report};
 use rig::upstream::Behavior;
@@ -76,6 +77,25 @@
         #[arg(required = true)]
         reports: Vec<std::path::PathBuf>,
     },
+    /// Measures how fleets of gateway nodes of several sizes converge and what that costs, in virtual
+    /// time.
+    Fleet {
+        /// Numbers of nodes.
+        #[arg(long, value_delimiter = ',', default_values_t = [16, 133, 472, 1_000])]
+        nodes: Vec<usize>,
+        /// Number of failure domains.
+        #[arg(long, default_value_t = 6)]
+        domains: usize,
+        /// Number of upstreams for each node.
+        #[arg(long, default_value_t = 2)]
+        upstreams: usize,
+        /// Seed of the random choices.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints the results as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Compares strategies for choosing upstreams on one seeded trace in virtual time.
     Compare {
         /// Seed of the trace.
@@ -102,6 +122,10 @@
         Command::Latency { rate, time, rounds } => latency(rate, time, rounds).await,
         Command::Bench { out } => run_bench(out).await,
         Command::Slopes { seconds, json } => show_slopes(seconds, json),
+        Command::Fleet { nodes, domains, upstreams, seed, json } => {
+            show_fleet(&nodes, domains, upstreams, seed, json);
+            Ok(())
+        }
         Command::Rounds { reports } => show_rounds(&reports),
         Command::Compare { seed, calls, strategy } => {
             compare_strategies(seed, calls, strategy);
@@ -117,6 +141,21 @@
     }
 }
 
+fn show_fleet(nodes: &[usize], domains: usize, upstreams: usize, seed: u64, json: bool) {
+    let plan = |nodes: usize| {
+        let domains = domains.clamp(1, nodes.max(1));
+        fleet::Plan { nodes, domains, upstreams: upstreams * nodes, seed }
+    };
+    let mut rows = Vec::new();
+    for scenario in report::Scenario::ALL {
+        rows.extend(nodes.iter().map(|nodes| report::run(&plan(*nodes), scenario)));
+    }
+    match json {
+        true => println!("{}", serde_json::to_string(&rows).unwrap_or_default()),
+        false => print!("{}", report::table(&rows)),
+    }
+}
+
 fn show_rounds(paths: &[std::path::PathBuf]) -> Result<(), Fault> {
     let mut reports = Vec::new();
     for path in paths {
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -33,6 +33,15 @@
     /// Returns an error if the store does not answer, or if its response is unexpected.
     fn list(&mut self, kind: Kind) -> impl Future<Output = Result<Listing, Error>> + Send;
 
+    /// Reads all facts of a kind as they were up to some seconds ago, at a lower cost.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer, or if its response is unexpected.
+    fn list_stale(&mut self, kind: Kind) -> impl Future<Output = Result<Listing, Error>> + Send {
+        self.list(kind)
+    }
+
     /// Waits at most `wait` for changes to facts of a kind after revision `after`.
     ///
     /// # Errors
