--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -10,15 +10,16 @@
 use base::prelude::*;
 use gateway::engine::{Dump, Input, Output};
 use gateway::message::Frame;
-use gateway::view::Batch;
 use gateway::{Charts, Engine, Terms};
-use model::registry::{Fact, Item, Kind, Member, State as UpstreamState, Upstream};
-use model::table::{Limits, Table};
+use model::registry::{Fact, Kind, Member, State as UpstreamState};
 use peer::Envelope;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use store::Store;
+
 pub mod report;
+mod store;
 
 /// Interval of an engine's ticks.
 const TICK: Span = Span::millis(200);
@@ -93,21 +94,6 @@
     Answer(Kind),
 }
 
-/// The modelled store.
-#[derive(Default)]
-struct Store {
-    revision: u64,
-    /// Revision of the last change, by kind.
-    changed: BTreeMap<Kind, u64>,
-    facts: BTreeMap<Kind, BTreeMap<String, Fact>>,
-    /// Names of the changed facts by revision and kind.
-    history: BTreeMap<(u64, Kind), String>,
-    calls: u64,
-    available: bool,
-    /// Nodes that the store turns away.
-    refused: BTreeSet<u64>,
-}
-
 /// A fleet of nodes.
 pub struct Fleet {
     /// The current time.
@@ -140,14 +126,13 @@
             seeds: Vec::new(),
             queue: BTreeMap::new(),
             next_event: 0,
-            store: Store { available: true, ..Store::default() },
+            store: Store::with_upstreams(plan.upstreams),
             cuts: BTreeSet::new(),
             loss: 0.0,
             bytes: 0,
             rng: SmallRng::seed_from_u64(plan.seed),
             charts: Charts::load().expect("the charts fit the code"),
         };
-        fleet.store.fill(plan.upstreams);
         for number in 0..plan.nodes {
             let ident = fleet.add(number, number % plan.domains);
             if number < plan.domains.min(3) {
@@ -522,75 +507,3 @@
         }
     }
 }
-
-impl Store {
-    fn serves(&self, ident: u64) -> bool {
-        self.available && !self.refused.contains(&ident)
-    }
-
-    fn fill(&mut self, upstreams: usize) {
-        let table = Table {
-            version: 1,
-            routes: Vec::new(),
-            services: Vec::new(),
-            limits: Limits::default(),
-        };
-        self.put(Kind::Table, "main".into(), Fact::Table(table));
-        for number in 0..upstreams {
-            self.put_upstream(number, UpstreamState::Ready);
-        }
-    }
-
-    fn put_upstream(&mut self, number: usize, state: UpstreamState) -> u64 {
-        let id = format!("i-{number:08x}");
-        let port = u16::try_from(number % 60_000).unwrap_or_default() + 1;
-        let upstream = Upstream {
-            id: id.clone(),
-            started_ms: 1_780_000_000_000,
-            service: format!("service-{}", number % 2),
-            version: "v1".into(),
-            domain: format!("d{}", number % 6),
-            address: ([10, 64, 0, 1], port).into(),
-            slots: 4,
-            state,
-            cold_remaining: Span::ZERO,
-        };
-        self.put(Kind::Upstreams, id, Fact::Upstream(upstream))
-    }
-
-    fn put(&mut self, kind: Kind, name: String, fact: Fact) -> u64 {
-        self.revision += 1;
-        self.changed.insert(kind, self.revision);
-        self.history.insert((self.revision, kind), name.clone());
-        self.facts.entry(kind).or_default().insert(name, fact);
-        self.revision
-    }
-
-    fn snapshot(&self, kind: Kind) -> Batch {
-        let facts = self.facts.get(&kind).into_iter().flatten();
-        let item = |(name, fact): (&String, &Fact)| Item {
-            name: name.clone(),
-            revision: self.revision,
-            fact: Some(fact.clone()),
-        };
-        let items = facts.map(item).collect();
-        Batch { after: None, revision: self.revision, after_outage: false, items }
-    }
-
-    /// Returns the changes of a kind after a revision, if there are any.
-    fn changes(&self, kind: Kind, after: u64) -> Option<Batch> {
-        let changed = self.history.range((after + 1, Kind::Table)..);
-        let names: BTreeSet<&String> =
-            changed.filter(|((_, other), _)| *other == kind).map(|(_, name)| name).collect();
-        let facts = self.facts.get(&kind)?;
-        let item = |name: &String| Item {
-            name: name.clone(),
-            revision: self.revision,
-            fact: facts.get(name).cloned(),
-        };
-        let items: Vec<Item> = names.into_iter().map(item).collect();
-        let batch =
-            Batch { after: Some(after), revision: self.revision, after_outage: false, items };
-        (!batch.items.is_empty()).then_some(batch)
-    }
-}
