--- a/crates/gateway/src/engine/bootstrap.rs
+++ b/crates/gateway/src/engine/bootstrap.rs
@@ -1,10 +1,10 @@
 //! How a node finds others when it starts, and which nodes use the store.
 //!
 //! A node asks the addresses in its settings for other nodes and gets its facts from its neighbours.
-//! Only the leader of one domain watches the store for all, and that of another is its backup. The others turn to the store by
-//! themselves if confirmations stay out, few at first and more the longer it lasts. The store also
-//! lists a few nodes of each domain, for nodes that start when no address in their settings
-//! responds any more.
+//! Only the leader of one domain watches the store for all, and that of another is its backup. The
+//! others turn to the store by themselves if confirmations stay out, few at first and more the longer
+//! it lasts. The store also lists the leaders of domains, for nodes that start when no address in
+//! their settings responds any more.
 
 use std::net::{IpAddr, SocketAddr};
 
@@ -45,7 +45,7 @@
 const LOOKUP_SPREAD: f64 = 0.3;
 /// Number of listed nodes of the own domain, and of others, that a node contacts at a time.
 const CONTACTS: usize = 3;
-/// Time after the start before which a node does not register as one of them.
+/// Time after the start before which a leader does not register in the store.
 const REGISTRATION_TIME: Span = Span::seconds(4);
 /// Number of nodes that are assumed to share the limits of the fleet as long as this node may not
 /// know all of them.
