Review case 2: a paused driver completes the roll-out of a failing version

Cause: the state in which all traffic goes to the target version ends by time alone. A driver that stood still in it writes the verdict when it goes on, before it has read the evidence of the other nodes, and no other node judges meanwhile.

Change: the case. Nothing of the product is changed.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,6 +11,7 @@
 mod json;
 mod record;
 mod setup;
+mod stale;
 mod store;
 mod worker;
 
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "copies" => copies::play(trouble),
+        "stale" => stale::play(trouble),
         _ => Err(format!("no case is named {case:?}")),
     };
     match verdict {
