Review case 3: a rolling restart forgets the requests that crash upstreams

Cause: a node that starts gets members, facts and departures from its neighbours, but not the suspected requests, which are broadcast only when a crash is recorded.

Change: the case. Nothing of the product is changed.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http;
 mod json;
+mod poison;
 mod record;
 mod setup;
 mod stale;
@@ -31,6 +32,7 @@
     let verdict = match case.as_str() {
         "copies" => copies::play(trouble),
         "stale" => stale::play(trouble),
+        "poison" => poison::play(trouble),
         _ => Err(format!("no case is named {case:?}")),
     };
     match verdict {
