Review case 4: request bodies within the limits exceed the memory

Cause: bodies of requests are collected up to the table's limit without regard to the memory of the process; only those of responses share a bound.

Change: the case. Nothing of the product is changed.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http;
 mod json;
+mod memory;
 mod poison;
 mod record;
 mod setup;
@@ -31,6 +32,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "copies" => copies::play(trouble),
+        "memory" => memory::play(trouble),
         "stale" => stale::play(trouble),
         "poison" => poison::play(trouble),
         _ => Err(format!("no case is named {case:?}")),
