Review case 5: a warm upstream that becomes cold gets its usual rate

Cause: the health of an upstream is checked only if its last load report is older than 120 ms. One that answers requests all the time is not asked, and its entry tells that it is cold up to a heartbeat later.

Change: the case. Nothing of the product is changed.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 //! environment the disruption is left out.
 
 mod client;
+mod cold;
 mod copies;
 mod fleet;
 mod http;
@@ -32,6 +33,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "copies" => copies::play(trouble),
+        "cold" => cold::play(trouble),
         "memory" => memory::play(trouble),
         "stale" => stale::play(trouble),
         "poison" => poison::play(trouble),
