Log when the response of an upstream belongs to another attempt

Change: an exchange whose response names another attempt, or none, says so as its fault in the log line of the request. What is decided from the response is unchanged.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderValue};
 use hyper::http::request;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -75,6 +75,9 @@
     /// The body was not complete when the deadline had passed.
     #[display("the body was not complete in time")]
     TimedOut,
+    /// The response names another attempt than the request, or none.
+    #[display("the response belongs to another attempt")]
+    OtherAttempt,
 }
 
 /// Sends a request to an upstream and reads its response.
@@ -127,8 +130,9 @@
     if event != Event::Broken {
         dispatcher.post(Message::Release(target.upstream, connection));
     }
+    let fault = (!is_of_attempt(dialect, payload, &head.headers)).then_some(Fault::OtherAttempt);
     let response = Some(Response::from_parts(head, body));
-    Completion { report, response, ..completion(event) }
+    Completion { report, response, fault, ..completion(event) }
 }
 
 /// Reads a body to its end.
@@ -176,8 +180,7 @@
     if headers.contains_key(&dialect.not_executed) {
         return Event::Refused;
     }
-    // A late response to an earlier request may arrive in place of the expected one.
-    let matches_attempt = headers.get(&dialect.attempt_id) == payload.attempt_id.as_ref();
+    let matches_attempt = is_of_attempt(dialect, payload, headers);
     let signed = headers.contains_key(&dialect.signature);
     match () {
         () if !matches_attempt || (status.is_success() && !signed) => Event::Broken,
@@ -186,6 +189,13 @@
     }
 }
 
+/// Returns whether a response names the attempt of the request.
+///
+/// A late response to an earlier request may arrive in place of the expected one.
+fn is_of_attempt(dialect: &Dialect, payload: &Payload, headers: &HeaderMap) -> bool {
+    headers.get(&dialect.attempt_id) == payload.attempt_id.as_ref()
+}
+
 fn request(
     dialect: &Dialect,
     payload: &Payload,
