rig: check the entry against refusals that belong to another attempt

Change: upstreams of the rig have a fault that answers a call which runs with a refusal of another attempt; the test that plays every fault of an upstream has it.

--- a/crates/rig/src/upstream.rs
+++ b/crates/rig/src/upstream.rs
@@ -19,6 +19,9 @@
 /// Header that identifies a request, so that the upstream can count how often it runs.
 pub const MARK: &str = "rig-mark";
 
+/// Identifier that no attempt has.
+const OTHER_ATTEMPT: HeaderValue = HeaderValue::from_static("0");
+
 /// Path of health checks.
 const HEALTH_PATH: &str = "/health";
 
@@ -64,6 +67,8 @@
     Silent,
     /// The response carries the identifier of another attempt.
     WrongAttempt,
+    /// The call runs, but the response is a refusal with the identifier of another attempt.
+    WrongRefusal,
     /// The body of the response is shorter than its declared length.
     Truncated,
 }
@@ -347,6 +352,7 @@
     match behavior.fault {
         Fault::ClosesAfter | Fault::ClosesBefore => return None,
         Fault::Silent => std::future::pending::<()>().await,
+        Fault::WrongRefusal => return refuse_other(report),
         Fault::None | Fault::Fails | Fault::WrongAttempt | Fault::Truncated => {}
     }
     let failed = overloaded || behavior.fault == Fault::Fails;
@@ -362,7 +368,7 @@
     }
     if let Some(attempt) = attempt {
         let wrong_attempt = behavior.fault == Fault::WrongAttempt;
-        let echo = if wrong_attempt { HeaderValue::from_static("0") } else { attempt };
+        let echo = if wrong_attempt { OTHER_ATTEMPT } else { attempt };
         headers.insert(header::ATTEMPT, echo);
     }
     Some(response)
@@ -383,3 +389,10 @@
     headers.insert(header::LOAD, header::format_report(report));
     Some(response)
 }
+
+/// Returns a refusal that belongs to another attempt.
+fn refuse_other(report: Report) -> Reply {
+    let mut response = refuse(report)?;
+    response.headers_mut().insert(header::ATTEMPT, OTHER_ATTEMPT);
+    Some(response)
+}
--- a/crates/rig/tests/path.rs
+++ b/crates/rig/tests/path.rs
@@ -151,6 +151,7 @@
         Fault::ClosesBefore,
         Fault::Silent,
         Fault::WrongAttempt,
+        Fault::WrongRefusal,
         Fault::Truncated,
     ];
     let mut cases = 0;
@@ -180,7 +181,7 @@
         }
     }
     println!("{cases} cases");
-    assert_eq!(cases, 21);
+    assert_eq!(cases, 24);
 }
 
 #[tokio::test]
