node: compare the attempt of every response before anything else is read from it

Cause: classify returned "misdirected" for a 421 and "refused" for a response that says it was not executed before it compared the identity of the attempt. An upstream in trouble writes an earlier response once more before the next one on a connection. If that was a refusal, the node took it for the refusal of the request that waited, and sent that to another upstream or told its caller that it had not run.

Change: a response that does not name the attempt ends the exchange as broken, whatever its status, and closes the connection; its load report and notices are not used. So a request that must run once gets 502, which promises nothing. It works for any copy, as what is compared does not depend on what the response claims.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -116,11 +116,14 @@
             return failure(event, Fault::Http(error.into_error()));
         }
     };
+    if !is_of_attempt(dialect, payload, response.headers()) {
+        return failure(Event::Broken, Fault::OtherAttempt);
+    }
     let report = dialect.report(response.headers());
     for notice in dialect.notices(response.status(), response.headers()) {
         dispatcher.post(Message::Notice(target.upstream, notice));
     }
-    let event = classify(dialect, payload, &response);
+    let event = classify(dialect, &response);
     connection.apply_keep_alive(response.headers());
     let (head, body) = response.into_parts();
     let body = match read_body(body, memory.body(), &connection.allowance, deadline).await {
@@ -130,9 +133,8 @@
     if event != Event::Broken {
         dispatcher.post(Message::Release(target.upstream, connection));
     }
-    let fault = (!is_of_attempt(dialect, payload, &head.headers)).then_some(Fault::OtherAttempt);
     let response = Some(Response::from_parts(head, body));
-    Completion { report, response, fault, ..completion(event) }
+    Completion { report, response, ..completion(event) }
 }
 
 /// Reads a body to its end.
@@ -170,32 +172,29 @@
     Ok(body.complete())
 }
 
-/// Determines the event of an exchange from the head of its response.
-fn classify<B>(dialect: &Dialect, payload: &Payload, response: &Response<B>) -> Event {
+/// Returns whether a response names the attempt of the request.
+///
+/// An upstream in trouble may send a response once more, at any time. If the copy arrives while the
+/// next request waits for its response, nothing that it says is about that request: not even that an
+/// upstream has not run it, or that another one listens at the address.
+fn is_of_attempt(dialect: &Dialect, payload: &Payload, headers: &HeaderMap) -> bool {
+    headers.get(&dialect.attempt_id) == payload.attempt_id.as_ref()
+}
+
+/// Determines the event of an exchange from the head of the response to its attempt.
+fn classify<B>(dialect: &Dialect, response: &Response<B>) -> Event {
     let headers = response.headers();
     let status = response.status();
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return Event::Misdirected;
-    }
-    if headers.contains_key(&dialect.not_executed) {
-        return Event::Refused;
-    }
-    let matches_attempt = is_of_attempt(dialect, payload, headers);
     let signed = headers.contains_key(&dialect.signature);
     match () {
-        () if !matches_attempt || (status.is_success() && !signed) => Event::Broken,
+        () if status == StatusCode::MISDIRECTED_REQUEST => Event::Misdirected,
+        () if headers.contains_key(&dialect.not_executed) => Event::Refused,
+        () if status.is_success() && !signed => Event::Broken,
         () if status.is_server_error() => Event::Failed,
         () => Event::Answered,
     }
 }
 
-/// Returns whether a response names the attempt of the request.
-///
-/// A late response to an earlier request may arrive in place of the expected one.
-fn is_of_attempt(dialect: &Dialect, payload: &Payload, headers: &HeaderMap) -> bool {
-    headers.get(&dialect.attempt_id) == payload.attempt_id.as_ref()
-}
-
 fn request(
     dialect: &Dialect,
     payload: &Payload,
