gateway: count the wait for health checks from the end of a request's body

Callers saw: 503 "no upstream may serve" for a request whose body took more than 60 ms, if the node had not heard of its upstreams for a second, though they were idle.

Cause: probe_candidates starts no health check once a call has waited 60 ms, counted from the arrival of the request's head. A slow body uses that up before the engine sees the request, and upstreams that need a health check first are then ruled out.

Change: a call also has the moment of its admission, and the wait counts from there. Deadline and target still count from the head, as that is what the caller waits for.

--- a/crates/gateway/src/engine/call.rs
+++ b/crates/gateway/src/engine/call.rs
@@ -26,7 +26,7 @@
         pub path: String,
         /// How long the caller waits for a response, from the arrival of the request.
         pub timeout: Option<Span>,
-        /// When the request arrived.
+        /// When the head of the request arrived; its body may have taken longer.
         pub arrived_at: Moment,
         /// Digest of the request, equal when a caller repeats it.
         pub digest: u64,
@@ -44,8 +44,10 @@
         pub assignment: Assignment,
         /// Whether the request may run more than once.
         pub idempotent: bool,
-        /// When the request arrived.
+        /// When the head of the request had arrived.
         pub arrived_at: Moment,
+        /// When the whole request had arrived.
+        pub admitted_at: Moment,
         /// When the call times out.
         pub deadline: Moment,
         /// Digest of the request.
@@ -176,6 +178,7 @@
             assignment,
             idempotent: route.spec.kind == table::Kind::Idempotent,
             arrived_at: request.arrived_at,
+            admitted_at: now,
             deadline: request.arrived_at + timeout,
             digest: request.digest,
             tried: Vec::new(),
--- a/crates/gateway/src/engine/choose.rs
+++ b/crates/gateway/src/engine/choose.rs
@@ -155,7 +155,7 @@
             candidates.iter().filter(|candidate| !call.unresponsive.contains(&candidate.upstream));
         let responsive: Vec<Candidate> = responsive.copied().collect();
         let Some(best) = responsive.first() else { return false };
-        let waited = now.since(call.arrived_at);
+        let waited = now.since(call.admitted_at);
         let all_unproven = candidates.iter().all(|candidate| candidate.unproven);
         let max_rounds = if all_unproven { MAX_PROBE_ROUNDS * 2 } else { MAX_PROBE_ROUNDS };
         if !best.stale || call.probe_rounds >= max_rounds || waited >= MAX_PROBE_WAIT {
--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -24,6 +24,17 @@
     assert_eq!(harness.take_sends().len(), 1);
 }
 
+/// The body of a request takes longer to arrive than health checks may take. The time before its end
+/// is no reason to refuse the request without a health check.
+#[test]
+fn place_probes_after_a_slow_body() {
+    let mut harness = Harness::new(&two_domains());
+    harness.request_with_body("/read/1", Span::millis(300));
+    harness.answer_probes_idle();
+    assert_eq!(harness.refusals(), []);
+    assert_eq!(harness.take_sends().len(), 1);
+}
+
 #[test]
 fn place_stays_in_its_domain() {
     let mut harness = Harness::new(&two_domains());
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -149,6 +149,11 @@
 
     /// Sends the node a request for a path and returns its token.
     pub fn request(&mut self, path: &str) -> u64 {
+        self.request_with_body(path, Span::ZERO)
+    }
+
+    /// As [`Self::request`], for a request whose body arrived during `span`.
+    pub fn request_with_body(&mut self, path: &str, span: Span) -> u64 {
         self.token += 1;
         let token = self.token;
         self.send_input(Input::Request(Request {
@@ -156,7 +161,7 @@
             host: HOST.into(),
             path: path.into(),
             timeout: Some(Span::millis(800)),
-            arrived_at: self.now,
+            arrived_at: self.now - span,
             digest: token,
         }));
         token
