node: refuse late requests of a planned stop that cannot end before the process does

Cause: a call's deadline was never compared with the end of the process. Whatever was read was passed on, also late in the stop, and aborted at 0.92 of the stop time.

Change: after the node has closed its connections, a call whose deadline lies after the end of the last calls (0.88 of the stop time) is refused as not run, with Retry-After: 0, and logged. At that time calls in progress end as at their deadline. It works as the refusal precedes any send, and as answers have 0.04 of the stop time to go out. Bodies that are not complete by then are refused as well.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -98,7 +98,11 @@
     }
     let timeout =
         entry::header::number(&head.headers, &front.dialect.deadline_remaining).map(Span::millis);
-    let body = match read_body(front, body, timeout).await {
+    let body = tokio::select! {
+        body = read_body(front, body, timeout) => body,
+        () = front.last_calls_end() => Err(Fault::Stopping),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(fault) => return fault.response(),
     };
@@ -118,6 +122,9 @@
         exchanges: JoinSet::new(),
         attempts: Vec::new(),
     };
+    if front.comes_too_late(timeout.map(|timeout| started_at + timeout.into())) {
+        return call.refuse(Fault::Stopping);
+    }
     call.run(engine_request).await
 }
 
@@ -176,6 +183,13 @@
         }
     }
 
+    /// Returns the response for a fault of the node before the call was forwarded.
+    fn refuse(&self, fault: Fault) -> Response<Full<Bytes>> {
+        let response = fault.response();
+        self.log(response.status(), fault.to_string(), None);
+        response
+    }
+
     async fn follow_directives(
         &mut self,
         engine_request: Request,
@@ -209,8 +223,8 @@
         }
     }
 
-    /// Waits for an exchange to end, the hedging delay or the deadline, reports it to the
-    /// dispatcher and returns the next directive.
+    /// Waits for an exchange to end, the hedging delay, or the deadline or the end of the last calls of
+    /// a node that stops, reports it to the dispatcher and returns the next directive.
     async fn next_directive(
         &mut self,
         last_response: &mut Option<Response<Bytes>>,
@@ -232,7 +246,7 @@
                 self.hedge_at = None;
                 dispatcher.ask(|reply| Message::HedgeDue { token, call, reply }).await
             }
-            () = sleep_until(self.deadline) => {
+            () = self.front.end_of_call(self.deadline) => {
                 dispatcher
                     .ask(|reply: oneshot::Sender<Directive>| Message::DeadlinePassed {
                         token,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -48,7 +48,7 @@
 /// Waits for [`Phase::Closing`].
 async fn wait_for_closing(phase: &mut watch::Receiver<Phase>) {
     // The sender lives as long as the node, so that waiting does not fail.
-    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+    let _ = phase.wait_for(|phase| matches!(phase, Phase::Closing { .. })).await;
 }
 
 async fn serve(front: Front, stream: TcpStream) {
--- a/crates/node/src/response.rs
+++ b/crates/node/src/response.rs
@@ -63,7 +63,13 @@
     #[must_use]
     pub fn response(self) -> Response<Full<Bytes>> {
         let error_body = ErrorBody { error: &self.to_string(), outcome: Outcome::NotRun.name() };
-        json(self.status(), serde_json::to_vec(&error_body).unwrap_or_default())
+        let body = serde_json::to_vec(&error_body).unwrap_or_default();
+        let mut response = json(self.status(), body);
+        if self == Self::Stopping {
+            // Other nodes serve the request at once.
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0"));
+        }
+        response
     }
 
     fn status(self) -> StatusCode {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -38,6 +38,9 @@
 /// Share of the stop time-out after which calls in progress are aborted, so that the process ends
 /// in time.
 const ABORT_SHARE: f64 = 0.92;
+/// Share of the stop time-out after which calls in progress end with an answer of the node, so that it
+/// is out before connections are cut.
+const ANSWER_SHARE: f64 = 0.88;
 /// Kinds of fact that are read and watched.
 const WATCHED_KINDS: [Kind; 4] = [Kind::Table, Kind::Upstreams, Kind::Rollouts, Kind::Withdrawals];
 
@@ -170,10 +173,13 @@
     ///
     /// First the node announces that it leaves, so that directories no longer advertise it, and its
     /// responses close their connections. Once earlier responses of directories have expired, it
-    /// accepts no new connections and waits for calls in progress. Returns whether some were
-    /// aborted because the stop time-out was over.
+    /// accepts no new connections, refuses calls that may last longer than the process, and waits
+    /// for calls in progress. These end with an answer shortly before the stop time-out is over.
+    /// Returns whether some were aborted nevertheless.
     pub async fn stop(mut self) -> bool {
-        let abort_at = Instant::now() + self.settings.stop_timeout.mul_f64(ABORT_SHARE);
+        let stop_timeout = self.settings.stop_timeout;
+        let abort_at = Instant::now() + stop_timeout.mul_f64(ABORT_SHARE);
+        let answer_by = Instant::now() + stop_timeout.mul_f64(ANSWER_SHARE);
         let mut state = self.chart.initial();
         let mut event = Event::StopRequested;
         let mut calls_cut = false;
@@ -181,7 +187,7 @@
             let step = self.chart.step(state, event);
             state = step.next;
             for action in step.actions {
-                calls_cut |= self.execute(*action);
+                calls_cut |= self.execute(*action, answer_by);
             }
             event = self.next_event(state, abort_at).await;
         }
@@ -189,15 +195,15 @@
         calls_cut
     }
 
-    fn execute(&self, action: Action) -> bool {
+    fn execute(&self, action: Action, answer_by: Instant) -> bool {
         // The receivers belong to tasks that may have ended already.
         match action {
             Action::AnnounceLeave => {
                 self.dispatcher.post(Message::Leave);
-                let _ = self.phase.send(Phase::Leaving);
+                let _ = self.phase.send(Phase::Leaving { answer_by });
             }
             Action::Close => {
-                let _ = self.phase.send(Phase::Closing);
+                let _ = self.phase.send(Phase::Closing { answer_by });
             }
             // The engine of a node does not queue requests.
             Action::RefuseWaiting => {}
