node: never report a request as not run after it was handed to an exchange

Callers would have seen: 503, not run, for a request that an upstream runs, if the task that decides ends, or an exchange panics, while the request is in progress.

Cause: Call::run answered every loss of the dispatcher with "the node stops", whose outcome is not-run, whether or not the request had been sent.

Change: after the first exchange of a call the fault is "the node stops while the request may run", 502 and unknown. Both faults are logged with the request now.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -179,11 +179,13 @@
     async fn run(mut self, engine_request: Request) -> Response<Full<Bytes>> {
         match self.follow_directives(engine_request).await {
             Ok(response) => response,
-            Err(Closed) => Fault::Stopping.response(),
+            Err(Closed) if self.attempts.is_empty() => self.refuse(Fault::Stopping),
+            // An upstream may have got the request, so it must not be reported as not run.
+            Err(Closed) => self.refuse(Fault::Interrupted),
         }
     }
 
-    /// Returns the response for a fault of the node before the call was forwarded.
+    /// Returns and logs the response that reports a fault of the node.
     fn refuse(&self, fault: Fault) -> Response<Full<Bytes>> {
         let response = fault.response();
         self.log(response.status(), fault.to_string(), None);
--- a/crates/node/src/response.rs
+++ b/crates/node/src/response.rs
@@ -50,6 +50,9 @@
     /// The node is shutting down.
     #[display("the node stops")]
     Stopping,
+    /// The node lost track of a request that it has forwarded.
+    #[display("the node stops while the request may run")]
+    Interrupted,
     /// The endpoint has nothing at this path.
     #[display("no such page")]
     NotFound,
@@ -62,7 +65,11 @@
     /// Creates the response that reports the fault.
     #[must_use]
     pub fn response(self) -> Response<Full<Bytes>> {
-        let error_body = ErrorBody { error: &self.to_string(), outcome: Outcome::NotRun.name() };
+        let outcome = match self {
+            Self::Interrupted => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        };
+        let error_body = ErrorBody { error: &self.to_string(), outcome: outcome.name() };
         let body = serde_json::to_vec(&error_body).unwrap_or_default();
         let mut response = json(self.status(), body);
         if self == Self::Stopping {
@@ -79,6 +86,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Interrupted => StatusCode::BAD_GATEWAY,
             Self::NotFound => StatusCode::NOT_FOUND,
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
         }
