node: end the exchanges of a call before its end at the deadline is decided

Callers would have seen: 503 "the deadline passed before the request was sent" for a request that reaches an upstream after that (REFUSED).

Cause: at the deadline a call asks the dispatcher, which answers "not run" if the request had not been sent by then. The exchange was ended only after the answer, so that it sent the request if its connection became usable in between, as on a busy or paused node.

Evidence: request_is_not_sent_after_its_deadline, with a connection that is busy beyond the deadline and a dispatcher that answers 300 ms later, fails before: "refused as not run, but has run".

Change: the exchanges are ended before the dispatcher is asked. What was handed to a connection before that was reported as sent before, so the caller gets 504 then.

Measured: the test passes, five times of five.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -249,6 +249,9 @@
                 dispatcher.ask(|reply| Message::HedgeDue { token, call, reply }).await
             }
             () = self.front.end_of_call(self.deadline) => {
+                // The directive says that the request has not run unless it was sent before. It must
+                // not be sent until the directive is here, if a connection becomes usable meanwhile.
+                self.exchanges.abort_all();
                 dispatcher
                     .ask(|reply: oneshot::Sender<Directive>| Message::DeadlinePassed {
                         token,
