entry: report a request as unknown if the dispatcher ends after it was forwarded

Callers would have seen: 503 `gone`, not-run, for a request that an upstream runs.

Evidence: request_in_progress_is_unknown_when_the_dispatcher_ends fails before, with 503 and "nutmegwharf-outcome: not-run".

Change: once a request was forwarded the problem is `interrupted`, 502 and unknown; the same if the dispatcher asks to relay a response that is not held.

Measured: the test passes, and the other four tests of the entry as before.

--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -95,10 +95,16 @@
     ) -> Result<Response<Answer>, Problem> {
         let mut held_response: Option<Received> = None;
         let mut pending_directive: Option<Directive> = None;
+        let mut forwarded = false;
         loop {
             let next = match pending_directive.take() {
                 Some(next) => next,
-                None => (&mut directive).await.map_err(|_| Problem::Gone)?,
+                None => match (&mut directive).await {
+                    Ok(next) => next,
+                    // An upstream may have got the request, so it must not be reported as not run.
+                    Err(_) if forwarded => return Ok(Problem::Interrupted.unknown()),
+                    Err(_) => return Err(Problem::Gone),
+                },
             };
             match next {
                 // `Continue` is sent only in reply to `request_hedge`, which handles it.
@@ -106,10 +112,14 @@
                 Directive::Refuse { refusal, outcome, retry_after } => {
                     return Ok(Problem::Refused(refusal).response(outcome, Some(retry_after)));
                 }
-                Directive::Relay => return held_response.take().map(relay).ok_or(Problem::Gone),
+                Directive::Relay => {
+                    let response = held_response.take().map(relay);
+                    return Ok(response.unwrap_or_else(|| Problem::Interrupted.unknown()));
+                }
                 Directive::Forward(target) => {
                     // A held response is discarded in favour of the new attempt.
                     drop(held_response.take());
+                    forwarded = true;
                     let deadline = self.clock.instant(target.deadline);
                     let request = build_request(&head, &mut payload, &target, deadline)?;
                     match self.attempt(target, request, &mut payload, deadline).await {
--- a/crates/entry/src/front/problem.rs
+++ b/crates/entry/src/front/problem.rs
@@ -40,6 +40,9 @@
     /// The dispatcher cannot be reached, because the entry is stopping.
     #[display("the entry stops")]
     Gone,
+    /// The dispatcher cannot be reached any more after the request was forwarded.
+    #[display("the entry stops while the request may run")]
+    Interrupted,
     /// The entry serves no such path.
     #[display("no such page")]
     NoPage,
@@ -70,6 +73,7 @@
             Self::Unsupported => StatusCode::NOT_IMPLEMENTED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Gone => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Interrupted => StatusCode::BAD_GATEWAY,
             Self::Refused(refusal) => refusal_status(refusal),
         }
     }
@@ -100,6 +104,12 @@
     pub fn not_run(self) -> Response<Answer> {
         self.response(Outcome::NotRun, None)
     }
+
+    /// Creates the response to a request that may have run.
+    #[must_use]
+    pub fn unknown(self) -> Response<Answer> {
+        self.response(Outcome::Unknown, None)
+    }
 }
 
 fn refusal_status(refusal: Refusal) -> StatusCode {
