trace: explain responses to other requests, and refusals of a node that stops

Cause: `explain` called a send that ended on a late copy a broken connection, and a refusal by a stopping node a node without routes, as such a line has no table yet.

Change: it reads the fault of a send, and knows both texts of the node.

--- a/crates/trace/src/cause.rs
+++ b/crates/trace/src/cause.rs
@@ -12,6 +12,10 @@
 const UNREACHABLE_AFTER_MS: u64 = 2_000;
 /// Time before a request's answer within which such a report explains a broken connection, in ms.
 const UNREACHABLE_BEFORE_MS: u64 = 500;
+/// Cause that a node logs for a request that it refuses because it stops.
+const STOPPING: &str = "the node stops";
+/// Fault that a node logs for an attempt on whose connection a response to another one arrived.
+const OTHER_ATTEMPT: &str = "the response belongs to another attempt";
 
 record! {
     /// The cause of a request's outcome.
@@ -23,6 +27,9 @@
         /// The node had not received any routes yet.
         #[display("the node knew no routes yet: it had just started, or could not reach the store")]
         NoRoutes,
+        /// The node was stopping and could not have answered in time.
+        #[display("not run: the node was stopping, and the request might have outlasted it")]
+        Stopping,
         /// No route matches the request.
         #[display("no route of table {table} fits its host and path")]
         NoRoute {
@@ -68,6 +75,13 @@
             /// Whether any node found the upstream unreachable around that time.
             down: bool,
         },
+        /// An upstream sent the response to another request, so it is unknown whether this one was
+        /// executed.
+        #[display("outcome unknown: {upstream} sent a response that belongs to another request")]
+        OtherAttempt {
+            /// Identity of the upstream.
+            upstream: String,
+        },
         /// An upstream answered with a failure.
         #[display("{upstream} answered with a failure")]
         Failed {
@@ -123,6 +137,7 @@
     pub fn find(request: &Request, node: &str, ms: u64, lines: &[Line]) -> Self {
         match request.status {
             404 if request.sends.is_empty() => Self::NoRoute { table: request.table },
+            503 if request.cause == STOPPING => Self::Stopping,
             503 if request.table == 0 => Self::NoRoutes,
             503 => explain_not_run(request, node, ms, lines),
             _ => explain_sent(request, ms, lines),
@@ -173,6 +188,9 @@
         return if is_slow(first) { slow_cause(first) } else { Cause::Expected };
     }
     if let Some(attempt) = last_attempt_with_end("broken") {
+        if attempt.fault.as_deref() == Some(OTHER_ATTEMPT) {
+            return Cause::OtherAttempt { upstream: attempt.to.clone() };
+        }
         let down = is_down(&attempt.to, ms, lines);
         return Cause::Broken { upstream: attempt.to.clone(), down };
     }
--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -89,6 +89,8 @@
         pub pace: f64,
         /// Outcome; absent if the attempt was abandoned.
         pub end: Option<String>,
+        /// Why there is no usable response, if that is known.
+        pub fault: Option<String>,
         /// Time until the outcome, in milliseconds.
         pub ms: u64,
     }
--- a/crates/trace/tests/explain.rs
+++ b/crates/trace/tests/explain.rs
@@ -8,6 +8,8 @@
 const RESET: &str = include_str!("data/reset.log");
 const SLOW: &str = include_str!("data/slow.log");
 
+const CROSSED: &str = include_str!("data/crossed.log");
+
 fn explain(id: &str, logs: &str) -> Explanation {
     Explanation::read(id, logs.as_bytes()).expect("the request is there")
 }
@@ -49,6 +51,20 @@
     );
 }
 
+#[test]
+fn explain_unknown_after_a_response_to_another_request() {
+    let expected =
+        expect!["outcome unknown: i-raw sent a response that belongs to another request"];
+    check("a-1", CROSSED, &expected);
+}
+
+#[test]
+fn explain_refused_while_the_node_stops() {
+    let expected =
+        expect!["not run: the node was stopping, and the request might have outlasted it"];
+    check("late", CROSSED, &expected);
+}
+
 /// The logs of several nodes are concatenated, so their lines are not in the order of time.
 #[test]
 fn explain_accepts_any_order_of_lines() {
