entry: refuse late requests of a stop, and answer the last calls before they are cut

Callers would have seen: a connection that ends without an answer at the end of a stop, for a request whose body was complete late, or that was queued or in progress.

Queued calls were refused in the same moment in which their connections were cut.

Change: the front end knows when the last calls have to end, 0.95 of the stop time after it closes. A call that may last longer is refused as not run; what is left then is answered as interrupted if it was forwarded, else as refused.

--- a/crates/entry/src/front/accept.rs
+++ b/crates/entry/src/front/accept.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::clock::Clock;
 use crate::dispatch::Handle;
@@ -32,14 +33,34 @@
     pub clock: Clock,
     /// Resource limits and time-outs.
     pub limits: Arc<Limits>,
+    /// When the last calls have to end; `None` until the entry stops accepting connections.
+    pub stop: watch::Receiver<Option<Instant>>,
+}
+
+impl Front {
+    /// Returns whether a call that ends at `deadline` at the latest may last longer than the entry.
+    pub(super) fn comes_too_late(&self, deadline: Instant) -> bool {
+        self.stop.borrow().is_some_and(|last_calls_end| deadline > last_calls_end)
+    }
+
+    /// Waits until the last calls have to end, which they never have if the entry is not stopped.
+    pub(super) async fn last_calls_end(&self) {
+        let mut stop = self.stop.clone();
+        let stopping = stop.wait_for(Option::is_some).await;
+        match stopping.map(|last_calls_end| *last_calls_end) {
+            Ok(Some(last_calls_end)) => tokio::time::sleep_until(last_calls_end).await,
+            // The sender lives as long as the entry, so that waiting does not fail.
+            Ok(None) | Err(_) => std::future::pending().await,
+        }
+    }
 }
 
 /// Accepts connections until a stop is requested, and returns once the last one has ended.
 ///
 /// Connections finish their requests in progress and are then closed.
-pub async fn accept(front: Front, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+pub async fn accept(front: Front, listener: TcpListener) {
     let mut connections = JoinSet::new();
-    let connection_stop = stop.clone();
+    let mut stop = front.stop.clone();
     loop {
         let has_capacity = connections.len() < front.limits.caller_connections;
         tokio::select! {
@@ -47,7 +68,7 @@
             Some(_) = connections.join_next() => {}
             accepted = listener.accept(), if has_capacity => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(serve(front.clone(), stream, connection_stop.clone()));
+                    connections.spawn(serve(front.clone(), stream));
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed error=\"{error}\"");
@@ -62,7 +83,8 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve(front: Front, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+async fn serve(front: Front, stream: TcpStream) {
+    let mut stop = front.stop.clone();
     // Nagle's algorithm would delay small responses.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request: Request<Incoming>| {
@@ -90,8 +112,8 @@
 }
 
 /// Waits until a stop is requested or the entry's handle is dropped.
-async fn stop_requested(stop: &mut watch::Receiver<bool>) {
-    let _ = stop.wait_for(|stop| *stop).await;
+async fn stop_requested(stop: &mut watch::Receiver<Option<Instant>>) {
+    let _ = stop.wait_for(Option::is_some).await;
 }
 
 fn builder(limits: &Limits) -> Builder<TokioExecutor> {
--- a/crates/entry/src/front/call.rs
+++ b/crates/entry/src/front/call.rs
@@ -4,6 +4,7 @@
 //! its response, or refuse the request.
 
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Waker};
 
 use base::hash::digest;
@@ -15,6 +16,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Version};
 use policy::attempt::Event;
+use policy::call::Refusal;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 use xtra::{Address, Handler};
@@ -71,7 +73,13 @@
         // Limits how long the body is read if the caller states no timeout.
         let timeout = description.timeout.unwrap_or(Span::seconds(10));
         let read_deadline = self.clock.instant(self.clock.moment() + timeout);
-        let payload = self.read_payload(body, read_deadline).await?;
+        let payload = tokio::select! {
+            payload = self.read_payload(body, read_deadline) => payload?,
+            () = self.last_calls_end() => return Err(Problem::Refused(Refusal::Stopping)),
+        };
+        if self.comes_too_late(read_deadline) {
+            return Err(Problem::Refused(Refusal::Stopping));
+        }
         description.replayable = matches!(payload, Payload::Buffered(_));
         let body_bytes: &[u8] = if let Payload::Buffered(bytes) = &payload { bytes } else { &[] };
         description.digest = digest(&[
@@ -83,26 +91,37 @@
         prepare_headers(&mut head);
         let (reply, directive) = oneshot::channel();
         self.dispatcher.post(Message::Submission(Submission { description, reply }));
-        self.follow_directives(head, payload, directive).await
+        let forwarded = AtomicBool::new(false);
+        tokio::select! {
+            response = self.follow_directives(head, payload, directive, &forwarded) => response,
+            () = self.last_calls_end() => match forwarded.load(Ordering::Relaxed) {
+                true => Ok(Problem::Interrupted.unknown()),
+                false => Err(Problem::Refused(Refusal::Stopping)),
+            },
+        }
     }
 
     /// Follows the dispatcher's directives until there is a response.
+    ///
+    /// Sets `forwarded` before an upstream may get the request.
     async fn follow_directives(
         &self,
         head: Parts,
         mut payload: Payload,
         mut directive: oneshot::Receiver<Directive>,
+        forwarded: &AtomicBool,
     ) -> Result<Response<Answer>, Problem> {
         let mut held_response: Option<Received> = None;
         let mut pending_directive: Option<Directive> = None;
-        let mut forwarded = false;
         loop {
             let next = match pending_directive.take() {
                 Some(next) => next,
                 None => match (&mut directive).await {
                     Ok(next) => next,
                     // An upstream may have got the request, so it must not be reported as not run.
-                    Err(_) if forwarded => return Ok(Problem::Interrupted.unknown()),
+                    Err(_) if forwarded.load(Ordering::Relaxed) => {
+                        return Ok(Problem::Interrupted.unknown());
+                    }
                     Err(_) => return Err(Problem::Gone),
                 },
             };
@@ -119,7 +138,7 @@
                 Directive::Forward(target) => {
                     // A held response is discarded in favour of the new attempt.
                     drop(held_response.take());
-                    forwarded = true;
+                    forwarded.store(true, Ordering::Relaxed);
                     let deadline = self.clock.instant(target.deadline);
                     let request = build_request(&head, &mut payload, &target, deadline)?;
                     match self.attempt(target, request, &mut payload, deadline).await {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
 use xtra::{Address, Mailbox};
 
 use crate::admin::{self, Admin, Metrics};
@@ -31,6 +32,10 @@
 /// Time between ticks of the dispatcher.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Share of the stop time-out after which the last calls end with an answer of the entry, so that it is
+/// out before connections are cut.
+const ANSWER_SHARE: f64 = 0.95;
+
 /// Why an entry cannot start.
 #[derive(Debug, Display, Error, From)]
 pub enum Fault {
@@ -75,7 +80,7 @@
     pub listen: Listen,
     dispatcher: Address<Dispatcher>,
     peers: Address<Peers>,
-    stop: watch::Sender<bool>,
+    stop: watch::Sender<Option<Instant>>,
     front: JoinHandle<()>,
     /// Dropping the set aborts the tasks, so they end with the handle.
     _tasks: JoinSet<()>,
@@ -147,10 +152,11 @@
     };
     tasks.spawn(admin::accept(admin, operators));
 
-    let (stop, stop_requested) = watch::channel(false);
+    let (stop, stop_receiver) = watch::channel(None);
     let handle = DispatchHandle::new(queue, dispatcher.clone());
-    let front = Front { dispatcher: handle, clock, limits: Arc::new(settings.limits) };
-    let front = tokio::spawn(front::accept(front, callers, stop_requested));
+    let limits = Arc::new(settings.limits);
+    let front = Front { dispatcher: handle, clock, limits, stop: stop_receiver };
+    let front = tokio::spawn(front::accept(front, callers));
     log::info!("event=started name={} callers={}", settings.name, listen.callers);
     Ok(Handle { listen, dispatcher, peers, stop, front, _tasks: tasks, settings, chart })
 }
@@ -201,8 +207,9 @@
     ///
     /// Peers and resolve responses first stop advertising the entry. Once `resolve_ttl` has
     /// passed, callers no longer have cached responses that name it; it then accepts no new
-    /// connections, waits for calls in progress, and ends its tasks. Returns the number of calls
-    /// that were aborted because `stop_timeout` had passed.
+    /// connections, refuses calls that may last longer than itself, waits for calls in progress, and
+    /// ends its tasks. The last calls end with an answer shortly before `stop_timeout` has passed.
+    /// Returns the number of calls that were aborted nevertheless.
     pub async fn stop(mut self) -> usize {
         let mut state = self.chart.initial();
         let mut event = Event::StopRequested;
@@ -228,7 +235,8 @@
             }
             // The front end's task holds the receiver and may have ended already.
             Action::Close => {
-                let _ = self.stop.send(true);
+                let answer_time = self.settings.limits.stop_timeout.mul_f64(ANSWER_SHARE);
+                let _ = self.stop.send(Some(Instant::now() + answer_time));
             }
             Action::RefuseWaiting => {
                 let _ = self.dispatcher.send(Apply(Input::Stop)).await;
