--- a/crates/entry/tests/front.rs
+++ b/crates/entry/tests/front.rs
@@ -82,6 +82,15 @@
         stream.write_all(head.as_bytes()).await.expect("sends");
         stream
     }
+
+    /// Waits for a call, and lets it be forwarded to an upstream within `time`.
+    async fn forward_next(&mut self, address: SocketAddr, time: Span) {
+        let Some(Message::Submission(submission)) = self.messages.recv().await else {
+            panic!("nothing was submitted");
+        };
+        let deadline = self.clock.moment() + time;
+        submission.reply.send(forward(address, deadline)).expect("the call waits");
+    }
 }
 
 /// Reads the response to the last request of a connection.
@@ -99,11 +108,7 @@
     let address = start_silent_upstream().await;
     let mut setup = Setup::start().await;
     let mut stream = setup.send_head(0).await;
-    let Some(Message::Submission(submission)) = setup.messages.recv().await else {
-        panic!("nothing was submitted");
-    };
-    let deadline = setup.clock.moment() + Span::millis(300);
-    submission.reply.send(forward(address, deadline)).expect("the call waits");
+    setup.forward_next(address, Span::millis(300)).await;
     drop(setup.messages);
     let response = read(&mut stream).await;
     assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
@@ -117,11 +122,7 @@
     let address = start_silent_upstream().await;
     let mut setup = Setup::start().await;
     let mut stream = setup.send_head(0).await;
-    let Some(Message::Submission(submission)) = setup.messages.recv().await else {
-        panic!("nothing was submitted");
-    };
-    let deadline = setup.clock.moment() + Span::seconds(60);
-    submission.reply.send(forward(address, deadline)).expect("the call waits");
+    setup.forward_next(address, Span::seconds(60)).await;
     setup.stop.send(Some(Instant::now() + Duration::from_millis(300))).expect("the front end runs");
     let response = read(&mut stream).await;
     assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
